Lists: strict parser with positions, follower whose version never goes back

Change: parser (YAML, all faults at once, line and column), follower (pure function of the configuration stream, checkpoints that are used only if nothing after them can be missing, states passed on by peers).

--- /dev/null
+++ b/follower/fuzz_test.go
@@ -0,0 +1,185 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/fuzz"
+	"persimmonvalve/standin"
+)
+
+func TestMain(m *testing.M) {
+	fuzz.Fix()
+	m.Run()
+}
+
+// model drives several followers over a log with racing operators, late
+// checkpoints, retention and peers that pass their state on. The oracle is a
+// reader that has seen every record.
+type model struct {
+	t         *rapid.T
+	log       *standin.Log
+	oracle    *Core
+	followers []*Core
+	versions  []pv.Offset
+	late      []Record // written, not appended yet
+	lie       bool     // mutant: checkpoints claim to reach to where they land
+	steps     *int
+}
+
+func (m *model) append(r Record) {
+	data, err := Encode(r)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	_, _ = m.log.Append(context.Background(), Stream, [][]byte{data})
+	m.read(m.oracle)
+}
+
+func (m *model) read(c *Core) []Result {
+	b, _ := m.log.Read(context.Background(), Stream, c.Next(), 1000)
+	return c.Feed(b)
+}
+
+func (m *model) text(t *rapid.T, kind pv.ListKind) string {
+	n := rapid.IntRange(1, 9).Draw(t, "n")
+	if kind == pv.AllowancesList {
+		return fmt.Sprintf("allowances:\n  - {plan: a, requestsPerSecond: %d, burst: 1}\n", n)
+	}
+	return fmt.Sprintf("plans:\n  - {name: a, customer: c, service: s, class: urgent, retryLimit: %d}\n", n)
+}
+
+// publish writes a change that amends what some follower knows.
+func (m *model) publish(t *rapid.T) {
+	c := m.any(t)
+	kind := rapid.SampledFrom([]pv.ListKind{pv.PlansList, pv.AllowancesList}).Draw(t, "kind")
+	state, _ := c.State()
+	r := Record{ID: "x", Change: &Change{List: kind, Amends: state.list(kind).Version, Text: m.text(t, kind)}}
+	for range rapid.IntRange(1, 2).Draw(t, "copies") {
+		m.append(r)
+	}
+}
+
+func (m *model) any(t *rapid.T) *Core {
+	return m.followers[rapid.IntRange(0, len(m.followers)-1).Draw(t, "follower")]
+}
+
+func (m *model) checkpoint(t *rapid.T) {
+	p, ok := m.any(t).TakeCheckpoint()
+	if ok {
+		m.late = append(m.late, Record{ID: "p", Checkpoint: &p})
+	}
+}
+
+func (m *model) land(t *rapid.T) {
+	if len(m.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.late)-1).Draw(t, "late")
+	r := m.late[i]
+	m.late = append(m.late[:i], m.late[i+1:]...)
+	if m.lie {
+		end, _ := m.log.Read(context.Background(), Stream, 1<<40, 1)
+		r.Checkpoint.Through = end.Next - 1
+		r.Checkpoint.State.Next = end.Next
+	}
+	m.append(r)
+}
+
+func (m *model) check() {
+	for i, c := range m.followers {
+		version := NoVersion
+		if c.Configuration() != nil {
+			version = c.Configuration().Version
+		}
+		if version < m.versions[i] {
+			m.t.Fatalf("follower %d went back from version %d to %d", i, m.versions[i], version)
+		}
+		m.versions[i] = version
+		state, known := c.State()
+		want, _ := m.oracle.State()
+		if known && state.Next == want.Next && state != want {
+			m.t.Fatalf("follower %d has %+v at offset %d, want %+v", i, state, state.Next, want)
+		}
+	}
+}
+
+func drive(t *rapid.T, lie bool, steps *int) {
+	m := &model{t: t, log: standin.NewLog(), oracle: New(), lie: lie}
+	for range 4 {
+		m.followers = append(m.followers, New())
+		m.versions = append(m.versions, NoVersion)
+	}
+	m.read(m.oracle)
+	counted := func(f func(*rapid.T)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			*steps++
+			f(t)
+		}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"":           func(*rapid.T) { m.check() },
+		"publish":    counted(m.publish),
+		"read":       counted(func(t *rapid.T) { m.read(m.any(t)) }),
+		"read again": counted(func(t *rapid.T) { m.read(m.any(t)) }),
+		"checkpoint": counted(m.checkpoint),
+		"land":       counted(m.land),
+		"land more":  counted(m.land),
+		"adopt": counted(func(t *rapid.T) {
+			if s, ok := m.any(t).State(); ok {
+				m.any(t).Adopt(s)
+			}
+		}),
+		"restart": counted(func(t *rapid.T) {
+			i := rapid.IntRange(0, len(m.followers)-1).Draw(t, "restart")
+			m.followers[i] = New()
+			m.versions[i] = NoVersion
+		}),
+		"retention": counted(func(t *rapid.T) {
+			m.log.SetFaults(standin.LogFaults{Keep: rapid.IntRange(1, 6).Draw(t, "keep")})
+		}),
+	})
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	steps := 0
+	rapid.Check(t, func(t *rapid.T) { drive(t, false, &steps) })
+	t.Logf("%d steps", steps)
+}
+
+func TestLyingCheckpointIsCaught(t *testing.T) {
+	steps := 0
+	caught, text := fuzz.Caught(func(t *rapid.T) { drive(t, true, &steps) })
+	if !caught {
+		t.Errorf("got caught=%v, want true", caught)
+	}
+	line, _, _ := strings.Cut(text, "\n")
+	t.Logf("%.200s", line)
+}
+
+func TestRacingOperators(t *testing.T) {
+	c := New()
+	change := func(amends pv.Offset, burst string) []byte {
+		data, err := Encode(Record{Change: &Change{List: pv.AllowancesList, Amends: amends,
+			Text: "allowances:\n  - {plan: a, burst: " + burst + "}\n"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	results := c.Feed(pv.Batch{Records: [][]byte{change(-1, "1"), change(-1, "2"), change(0, "3")}, Next: 3})
+	want := []Verdict{Accepted, Conflict, Accepted}
+	for i, r := range results {
+		if r.Verdict != want[i] {
+			t.Errorf("change %d: got %s, want %s", i, r.Verdict, want[i])
+		}
+	}
+	if got, want := c.Configuration().Allowances.Allowances[0].Burst, int64(3); got != want {
+		t.Errorf("burst: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/follower/record.go
@@ -0,0 +1,89 @@
+package follower
+
+// This file defines the records of the configuration stream.
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	pv "persimmonvalve"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("configuration")
+
+// Stream is the name of the configuration stream.
+const Stream pv.StreamName = "configuration"
+
+// Record is one entry of the configuration stream; one pointer is set.
+type Record struct {
+	ID         string      `json:"id"`
+	Time       time.Time   `json:"time"`
+	Change     *Change     `json:"change,omitempty"`
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+}
+
+// Change replaces one list. It is valid only if Amends is still that list's
+// version: of two racing operators the first in the log wins.
+type Change struct {
+	List   pv.ListKind `json:"list"`
+	Amends pv.Offset   `json:"amends"` // -1 for the first
+	Author string      `json:"author"`
+	Text   string      `json:"text"`
+}
+
+// Checkpoint carries the newest version of both lists through an offset.
+type Checkpoint struct {
+	Through pv.Offset `json:"through"`
+	State   State     `json:"state"`
+}
+
+// List is one list at a version.
+type List struct {
+	Version pv.Offset `json:"version"` // offset of the change; -1 for none
+	Author  string    `json:"author,omitempty"`
+	Time    time.Time `json:"time,omitzero"`
+	Text    string    `json:"text"`
+}
+
+// State is both lists, and how far the stream has been applied.
+type State struct {
+	Plans      List      `json:"plans"`
+	Allowances List      `json:"allowances"`
+	Next       pv.Offset `json:"next"` // offset after the last record applied
+}
+
+// Version returns the version of the whole configuration, -1 for none.
+func (s State) Version() pv.Offset {
+	return max(s.Plans.Version, s.Allowances.Version)
+}
+
+func (s *State) list(kind pv.ListKind) *List {
+	if kind == pv.PlansList {
+		return &s.Plans
+	}
+	return &s.Allowances
+}
+
+// NoVersion is the version of a list that was never published.
+const NoVersion pv.Offset = -1
+
+func emptyState() State {
+	return State{Plans: List{Version: NoVersion}, Allowances: List{Version: NoVersion}}
+}
+
+// Encode returns the bytes of a record.
+func Encode(r Record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, Error.Wrap(err)
+}
+
+func decode(data []byte) Record {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{} // every reader finds the same bytes malformed
+	}
+	return r
+}
--- /dev/null
+++ b/parser/parser.go
@@ -0,0 +1,203 @@
+package parser
+
+// This file defines how a list is read and checked. All faults of a list are
+// reported at once; nothing of a faulty list takes effect.
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	yamlparser "github.com/goccy/go-yaml/parser"
+	"github.com/zeebo/errs"
+
+	pv "persimmonvalve"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("list")
+
+// Fault is one fault of a list.
+type Fault struct {
+	Line   int // from 1; 0 for a fault of the whole list
+	Column int
+	Text   string
+}
+
+// String formats the fault as line:column: text.
+func (f Fault) String() string {
+	if f.Line == 0 {
+		return f.Text
+	}
+	return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text)
+}
+
+// MaxListBytes bounds the text of a list.
+const MaxListBytes = 4 << 20
+
+// ParsePlans reads the list of plans.
+func ParsePlans(text []byte) (pv.Plans, []Fault) {
+	var raw plansText
+	doc, faults := decode(text, &raw)
+	if faults != nil {
+		return pv.Plans{}, faults
+	}
+	var plans pv.Plans
+	for _, p := range raw.Plans {
+		plans.Plans = append(plans.Plans, p.plan())
+	}
+	return plans, checkPlans(doc, plans)
+}
+
+// ParseAllowances reads the list of allowances.
+func ParseAllowances(text []byte) (pv.Allowances, []Fault) {
+	var raw allowancesText
+	doc, faults := decode(text, &raw)
+	if faults != nil {
+		return pv.Allowances{}, faults
+	}
+	allowances := pv.Allowances{
+		Site: pv.Weights{
+			TailLatency: raw.Site.Weights.TailLatency,
+			Throughput:  raw.Site.Weights.Throughput,
+			Evictions:   raw.Site.Weights.Evictions,
+		},
+		Fleet: raw.Site.Fleet.resources(),
+	}
+	for _, a := range raw.Allowances {
+		allowances.Allowances = append(allowances.Allowances, a.allowance())
+	}
+	return allowances, checkAllowances(doc, allowances)
+}
+
+// decode reads text strictly into raw.
+func decode(text []byte, raw any) (document, []Fault) {
+	if len(text) > MaxListBytes {
+		return document{}, []Fault{{Text: fmt.Sprintf("the list has %d bytes, at most %d are allowed", len(text), MaxListBytes)}}
+	}
+	file, err := yamlparser.ParseBytes(text, 0)
+	if err != nil {
+		return document{}, []Fault{faultOf(err)}
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return document{}, []Fault{{Line: 1, Column: 1, Text: "a list is one YAML document and isn't empty"}}
+	}
+	check := validator.New(validator.WithRequiredStructEnabled())
+	if err := check.RegisterValidation("duration", validDuration); err != nil {
+		panic(Error.Wrap(err)) // only an empty tag is refused
+	}
+	if err := yaml.UnmarshalWithOptions(text, raw, yaml.Strict(), yaml.Validator(check)); err != nil {
+		return document{}, []Fault{faultOf(err)}
+	}
+	return document{root: file.Docs[0].Body}, nil
+}
+
+// faultOf takes position and text out of the library's error.
+func faultOf(err error) Fault {
+	var y yaml.Error
+	if !errors.As(err, &y) {
+		return Fault{Text: err.Error()}
+	}
+	f := Fault{Text: strings.TrimSpace(y.GetMessage())}
+	if token := y.GetToken(); token != nil && token.Position != nil {
+		f.Line = token.Position.Line
+		f.Column = token.Position.Column
+	}
+	return f
+}
+
+// document finds the positions of values for faults that the library can't
+// see.
+type document struct {
+	root ast.Node
+}
+
+func (d document) fault(path, format string, args ...any) Fault {
+	f := Fault{Text: fmt.Sprintf(format, args...)}
+	p, err := yaml.PathString(path)
+	if err != nil {
+		return f
+	}
+	node, err := p.FilterNode(d.root)
+	if err != nil || node == nil {
+		return f
+	}
+	if position := node.GetToken().Position; position != nil {
+		f.Line = position.Line
+		f.Column = position.Column
+	}
+	return f
+}
+
+func checkPlans(doc document, plans pv.Plans) []Fault {
+	var faults []Fault
+	seen := map[string]bool{}
+	for i, p := range plans.Plans {
+		path := fmt.Sprintf("$.plans[%d]", i)
+		if seen[p.Name] {
+			faults = append(faults, doc.fault(path+".name", "plan %q stands twice", p.Name))
+		}
+		seen[p.Name] = true
+		if (p.Service == "") == (p.TaskKind == "") {
+			faults = append(faults, doc.fault(path+".name", "plan %q needs either service or taskKind", p.Name))
+		}
+		if p.TaskKind != "" && p.RunTime <= 0 && p.Class != pv.Standing {
+			faults = append(faults, doc.fault(path+".name", "plan %q needs a runTime", p.Name))
+		}
+	}
+	return faults
+}
+
+func checkAllowances(doc document, allowances pv.Allowances) []Fault {
+	var faults []Fault
+	seen := map[string]bool{}
+	var sum pv.Resources
+	for i, a := range allowances.Allowances {
+		path := fmt.Sprintf("$.allowances[%d]", i)
+		if seen[a.Plan] {
+			faults = append(faults, doc.fault(path+".plan", "the allowance of %q stands twice", a.Plan))
+		}
+		seen[a.Plan] = true
+		if !a.Guaranteed.Fits(a.Ceiling) {
+			faults = append(faults, doc.fault(path+".plan", "the guarantee of %q is over its ceiling", a.Plan))
+		}
+		if a.RequestsPerSec > 0 && a.Burst < 1 {
+			faults = append(faults, doc.fault(path+".plan", "%q has a request rate, so its burst must be at least 1", a.Plan))
+		}
+		sum = sum.Add(a.Guaranteed)
+	}
+	if allowances.Fleet != (pv.Resources{}) && !sum.Fits(allowances.Fleet) {
+		faults = append(faults, doc.fault("$.site.fleet", "the guarantees sum to %s, the fleet has %s", sum, allowances.Fleet))
+	}
+	return faults
+}
+
+// CheckTogether returns the faults that only both lists together show.
+func CheckTogether(plans pv.Plans, allowances pv.Allowances) []Fault {
+	known := map[string]bool{}
+	for _, a := range allowances.Allowances {
+		known[a.Plan] = true
+	}
+	var faults []Fault
+	for _, p := range plans.Plans {
+		if !known[p.Name] {
+			faults = append(faults, Fault{Text: fmt.Sprintf("plan %q has no allowance", p.Name)})
+		}
+	}
+	return faults
+}
+
+// Join returns the faults as one error, nil for none.
+func Join(faults []Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.String()
+	}
+	return Error.New("%s", strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/parser/parser_test.go
@@ -0,0 +1,89 @@
+package parser
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	pv "persimmonvalve"
+)
+
+// example is a list from testdata with the faults that stand below it.
+type example struct {
+	name string
+	text string
+	want []string
+}
+
+func examples(t *testing.T, file string) []example {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []example
+	for line := range strings.Lines(string(data)) {
+		if name, ok := strings.CutPrefix(line, "-- "); ok {
+			out = append(out, example{name: strings.TrimSpace(name)})
+			continue
+		}
+		e := &out[len(out)-1]
+		if fault, ok := strings.CutPrefix(line, "== "); ok {
+			e.want = append(e.want, strings.TrimSpace(fault))
+		} else {
+			e.text += line
+		}
+	}
+	return out
+}
+
+func check(t *testing.T, file string, parse func([]byte) []Fault) {
+	t.Helper()
+	for _, e := range examples(t, file) {
+		t.Run(e.name, func(t *testing.T) {
+			var got []string
+			for _, f := range parse([]byte(e.text)) {
+				got = append(got, f.String())
+			}
+			if !slices.Equal(got, e.want) {
+				t.Errorf("got %q, want %q", got, e.want)
+			}
+		})
+	}
+}
+
+func TestPlans(t *testing.T) {
+	check(t, "testdata/plans.txt", func(text []byte) []Fault {
+		_, faults := ParsePlans(text)
+		return faults
+	})
+}
+
+func TestAllowances(t *testing.T) {
+	check(t, "testdata/allowances.txt", func(text []byte) []Fault {
+		_, faults := ParseAllowances(text)
+		return faults
+	})
+}
+
+func TestPlanWithoutAllowance(t *testing.T) {
+	faults := CheckTogether(pv.Plans{Plans: []pv.Plan{{Name: "a"}}}, pv.Allowances{})
+	if got, want := len(faults), 1; got != want {
+		t.Errorf("got %d faults, want %d", got, want)
+	}
+}
+
+// FuzzLists checks that no text makes the reader panic, and that a list is
+// either read or has a fault.
+func FuzzLists(f *testing.F) {
+	f.Add([]byte("plans:\n  - {name: a, customer: c, service: s, class: urgent}\n"))
+	f.Add([]byte("allowances:\n  - plan: a\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		plans, faults := ParsePlans(text)
+		if len(faults) == 0 && len(plans.Plans) == 0 && len(text) > 0 && strings.Contains(string(text), "name:") {
+			t.Logf("an empty list of plans is allowed: %q", text)
+		}
+		_, _ = ParseAllowances(text)
+	})
+}
