--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,3 @@
+// Package router chooses the endpoint for a request among a bounded subset, by
+// requests in progress and latency, availability zone and the paid link.
+package router
