The thin whole path: entry, agent, stand-ins and the demo

Cause: the cores had no processes around them. Change: the agent (guard, holder of cells and homes), the entry (API by ogen, requests, tasks, lists, report), reporter and accountant, runner, and a demo that drives all of it over real loopback transports.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -137,6 +137,19 @@
 	return Decision{Waiting: true}
 }
 
+// Spend takes one request off a plan's rate without a place, as for the
+// submission of a task; the reason is empty if the rate allows it.
+func (c *Core) Spend(now time.Time, name string) pv.Reason {
+	p, ok := c.plans[name]
+	switch {
+	case !ok:
+		return pv.ReasonNoPlan
+	case !p.limiter.AllowN(now, 1):
+		return pv.ReasonRate
+	}
+	return pv.NoReason
+}
+
 // late reports whether the request can't be answered in time even at once.
 func (c *Core) late(now time.Time, p *plan, t *Ticket) bool {
 	return now.Add(p.took).After(t.Deadline)
--- /dev/null
+++ b/demonstrator/site.go
@@ -0,0 +1,330 @@
+package demonstrator
+
+// This file defines the site and how its parts are started and ended.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	pv "persimmonvalve"
+	"persimmonvalve/agent"
+	"persimmonvalve/connector"
+	"persimmonvalve/entry"
+	"persimmonvalve/internal/apigen"
+	"persimmonvalve/messenger"
+	"persimmonvalve/partitioner"
+	"persimmonvalve/runner"
+	"persimmonvalve/standin"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("site")
+
+// Options say how large a site is.
+type Options struct {
+	Zones     []string
+	Region    string
+	Workers   int // of which three stand in a rack
+	Agents    int
+	Entries   int
+	Service   string
+	Lease     time.Duration
+	Authority time.Duration
+	Silence   time.Duration // before a silent holder is replaced
+	Logger    *zap.Logger
+}
+
+// DefaultOptions returns a site of the size of the workshop's, with short
+// intervals so that failures show soon.
+func DefaultOptions() Options {
+	return Options{
+		Zones:     []string{"santander-bench", "torrelavega-annex"},
+		Region:    "cantabria",
+		Workers:   6,
+		Agents:    4,
+		Entries:   2,
+		Service:   "cordPath",
+		Lease:     2 * time.Second,
+		Authority: 4 * time.Second,
+		Silence:   time.Second,
+		Logger:    zap.NewNop(),
+	}
+}
+
+// WorkerCapacity is what each worker of a site has.
+var WorkerCapacity = pv.Resources{MilliCores: 32000, MemoryMB: 125000, Slots: 8}
+
+// Node is one agent with its endpoint.
+type Node struct {
+	Agent    *agent.Agent
+	Endpoint *standin.Endpoint
+	Member   pv.Member
+	stop     func(context.Context) error
+}
+
+// Gate is one entry with its API.
+type Gate struct {
+	Entry *entry.Entry
+	URL   string
+	API   *apigen.Client
+	stop  func(context.Context) error
+}
+
+// Site is a whole site.
+type Site struct {
+	Options   Options
+	Layout    partitioner.Layout
+	Log       *standin.Log
+	Workers   *standin.Workers
+	Nodes     []*Node
+	Gates     []*Gate
+	LogURL    string
+	FleetURL  string
+	stops     []func(context.Context) error
+	nextAgent int
+	nextEntry int
+}
+
+// New starts a site. The caller stops it, also after an error.
+func New(o Options) (*Site, error) {
+	s := &Site{
+		Options: o,
+		Layout:  partitioner.Layout{Homes: 2, Zones: o.Zones, CellsPerZone: 1},
+		Log:     standin.NewLog(),
+		Workers: standin.NewWorkers(),
+	}
+	if err := s.startPlatform(); err != nil {
+		return s, err
+	}
+	for range o.Agents {
+		if _, err := s.StartAgent(); err != nil {
+			return s, err
+		}
+	}
+	for range o.Entries {
+		if _, err := s.StartEntry(); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) serve(h http.Handler) (netip.AddrPort, func(context.Context) error, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, nil, Error.Wrap(err)
+	}
+	return addressOf(l), runner.ServeHTTP(l, h, s.Options.Logger), nil
+}
+
+func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+func (s *Site) startPlatform() error {
+	address, stop, err := s.serve(standin.LogHandler(s.Log))
+	if err != nil {
+		return err
+	}
+	s.stops = append(s.stops, stop)
+	s.LogURL = "http://" + address.String()
+	address, stop, err = s.serve(standin.WorkersHandler(s.Workers))
+	if err != nil {
+		return err
+	}
+	s.stops = append(s.stops, stop)
+	s.FleetURL = "http://" + address.String()
+	for i := range s.Options.Workers {
+		rack := i / 3
+		info := pv.WorkerInfo{
+			ID: pv.WorkerID(fmt.Sprintf("worker-%d", i)), Address: address, Capacity: WorkerCapacity,
+			Place: pv.Place{Region: s.Options.Region, Zone: s.Options.Zones[rack%len(s.Options.Zones)], Rack: fmt.Sprintf("rack-%d", rack)},
+		}
+		w := standin.NewWorkerCore(info, standin.Declared{}, time.Now())
+		w.CheckpointEvery = 500 * time.Millisecond
+		s.Workers.Add(w)
+	}
+	return nil
+}
+
+// platformTimeout bounds calls to the stand-ins.
+const platformTimeout = 2 * time.Second
+
+func (s *Site) platform(endpointURL string) agent.Platform {
+	client := connector.NewHTTPClient(platformTimeout)
+	return agent.Platform{
+		Log:      connector.NewLog(client, s.LogURL),
+		Fleet:    connector.NewFleet(client, s.FleetURL),
+		Workers:  connector.NewWorkers(client),
+		Endpoint: connector.NewEndpoint(connector.NewHTTPClient(0), endpointURL),
+	}
+}
+
+func (s *Site) member(name, role, service string, zone int, address netip.AddrPort) pv.Member {
+	return pv.Member{
+		Name: name, Role: role, Address: address, Service: service,
+		Place:       pv.Place{Region: s.Options.Region, Zone: s.Options.Zones[zone%len(s.Options.Zones)]},
+		Incarnation: pv.Incarnation(uuid.Must(uuid.NewV7()).String()),
+	}
+}
+
+// StartAgent starts an endpoint with its agent.
+func (s *Site) StartAgent() (*Node, error) {
+	i := s.nextAgent
+	s.nextAgent++
+	name := fmt.Sprintf("agent-%d", i)
+	endpoint := standin.NewEndpoint(fmt.Sprintf("endpoint-%d", i))
+	address, stop, err := s.serve(standin.EndpointHandler(endpoint))
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	settings := s.agentSettings(s.member(name, pv.RoleAgent, s.Options.Service, i, addressOf(l)))
+	n := &Node{Endpoint: endpoint, Member: settings.Member, stop: stop}
+	n.Agent = agent.New(settings, agent.Dependencies{
+		Platform: s.platform("http://" + address.String()), Listener: l, Logger: s.Options.Logger, Registry: prometheus.NewRegistry(),
+	})
+	s.Nodes = append(s.Nodes, n)
+	return n, nil
+}
+
+func (s *Site) agentSettings(m pv.Member) agent.Settings {
+	settings := agent.DefaultSettings()
+	settings.Member = m
+	settings.Layout = s.Layout
+	settings.Tick = 10 * time.Millisecond
+	settings.ConfigPoll = 500 * time.Millisecond
+	settings.MemberPoll = 200 * time.Millisecond
+	settings.FleetPoll = time.Second
+	settings.Holder.Renew = s.Options.Silence / 4
+	settings.Holder.Silence = s.Options.Silence
+	settings.Holder.Stagger = s.Options.Silence / 4
+	settings.Holder.Poll = s.Options.Silence / 10
+	settings.Holder.AppendRate = 50
+	settings.Holder.Authority = s.Options.Authority
+	settings.Scheduler.Authority = s.Options.Authority
+	settings.Scheduler.Lease = s.Options.Lease
+	settings.Scheduler.RenewEvery = s.Options.Lease / 8
+	settings.Scheduler.Drift = s.Options.Lease / 10
+	settings.Scheduler.CallTimeout = s.Options.Lease / 4
+	return settings
+}
+
+// StartEntry starts an entry with its API.
+func (s *Site) StartEntry() (*Gate, error) {
+	i := s.nextEntry
+	s.nextEntry++
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	settings := entry.DefaultSettings()
+	settings.Member = s.member(fmt.Sprintf("entry-%d", i), pv.RoleEntry, "", i, addressOf(l))
+	settings.Layout = s.Layout
+	settings.ConfigPoll = 100 * time.Millisecond
+	settings.MemberPoll = 100 * time.Millisecond
+	settings.FleetPoll = time.Second
+	settings.StatusEvery = 200 * time.Millisecond
+	settings.AccountsEvery = time.Second
+	client := connector.NewHTTPClient(platformTimeout)
+	g := &Gate{URL: "http://" + addressOf(l).String()}
+	g.Entry = entry.New(settings, entry.Dependencies{
+		Log: connector.NewLog(client, s.LogURL), Fleet: connector.NewFleet(client, s.FleetURL),
+		Client: messenger.NewClient(), Logger: s.Options.Logger, Registry: prometheus.NewRegistry(),
+		Random: rand.New(rand.NewPCG(1, uint64(i))),
+	})
+	api, err := apigen.NewServer(g.Entry)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	g.stop = runner.ServeHTTP(l, api, s.Options.Logger)
+	g.API, err = apigen.NewClient(g.URL)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	s.Gates = append(s.Gates, g)
+	return g, nil
+}
+
+// Crash ends an agent and its endpoint as a host's failure would.
+func (n *Node) Crash() {
+	n.Agent.Abort()
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.stop(done)
+}
+
+// Leave stops an agent gracefully, then its endpoint.
+func (n *Node) Leave(ctx context.Context) error {
+	if err := n.Agent.Stop(ctx); err != nil {
+		return err
+	}
+	return n.stop(ctx)
+}
+
+// Leave stops an entry gracefully.
+func (g *Gate) Leave(ctx context.Context) error {
+	if err := g.stop(ctx); err != nil {
+		return err
+	}
+	return g.Entry.Stop(ctx)
+}
+
+// Stop ends everything that still runs, without grace.
+func (s *Site) Stop() {
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, g := range s.Gates {
+		_ = g.stop(done)
+		_ = g.Entry.Stop(done)
+	}
+	for _, n := range s.Nodes {
+		n.Crash()
+	}
+	for _, stop := range s.stops {
+		_ = stop(done)
+	}
+}
+
+// AwaitReady waits until every stream is held and entries know it.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	return s.Await(ctx, "all streams held", func() bool {
+		for _, g := range s.Gates {
+			cells, err := g.API.GetCells(ctx)
+			if err != nil {
+				return false
+			}
+			for _, c := range cells {
+				if c.State != apigen.CellStateHeld {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// Await waits until a condition holds.
+func (s *Site) Await(ctx context.Context, what string, condition func() bool) error {
+	for {
+		if condition() {
+			return nil
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return Error.New("gave up waiting: %s", what)
+		}
+	}
+}
--- /dev/null
+++ b/entry/sessions.go
@@ -0,0 +1,126 @@
+package entry
+
+// This file defines the status calls to agents: heartbeat, probe of requests
+// in progress, report of held streams, and exchange of configurations, all in
+// one message on the session that traffic uses.
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	pv "persimmonvalve"
+	"persimmonvalve/follower"
+	"persimmonvalve/internal/wire"
+)
+
+func (e *Entry) frame() *wire.Frame {
+	return &wire.Frame{Sender: e.settings.Member.Name, Incarnation: string(e.settings.Member.Incarnation)}
+}
+
+// askAll asks the agents whose endpoints or streams this entry uses.
+func (e *Entry) askAll(now time.Time) {
+	for address, name := range e.wanted() {
+		if e.asking[name] || now.Sub(e.asked[name]) < e.settings.StatusEvery {
+			continue
+		}
+		e.asking[name] = true
+		e.asked[name] = now
+		go e.ask(name, address)
+	}
+}
+
+// wanted returns the agents that this entry has sessions with.
+func (e *Entry) wanted() map[netip.AddrPort]string {
+	wanted := map[netip.AddrPort]string{}
+	for _, ep := range e.routing.Endpoints() {
+		wanted[ep.Member.Address] = ep.Member.Name
+	}
+	for _, stream := range e.allStreams() {
+		h, ok := e.members.Holder(stream)
+		if !ok {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(h.Address); err == nil {
+			wanted[address] = h.Member
+		}
+	}
+	return wanted
+}
+
+func (e *Entry) allStreams() []pv.StreamName {
+	return append(e.settings.Layout.CellStreams(), e.settings.Layout.HomeStreams()...)
+}
+
+// ask makes one status call.
+func (e *Entry) ask(name string, address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(e.ctx, e.settings.Routing.Silence)
+	defer cancel()
+	f := e.frame()
+	f.Body = &wire.Frame_Status{Status: &wire.Status{}}
+	reply, _, err := e.client.Call(ctx, address, f)
+	e.control.Post(func() {
+		e.asking[name] = false
+		if status := reply.GetStatusReply(); err == nil && status != nil {
+			e.heard(time.Now(), name, address, reply, status)
+		}
+	})
+}
+
+func (e *Entry) heard(now time.Time, name string, address netip.AddrPort, f *wire.Frame, s *wire.StatusReply) {
+	e.routing.Report(now, name, int(s.Running+s.Queued), int(s.Slots), s.Leaving)
+	for _, h := range s.Held {
+		stream := pv.StreamName(h.Stream)
+		e.cells[stream] = cellStatus{held: h, heard: now}
+		if h.Waiting > 0 && stream == e.homeNamed(stream) {
+			go e.drivePending(stream, address)
+		}
+	}
+	e.exchange(f.ConfigNext, address)
+}
+
+func (e *Entry) homeNamed(stream pv.StreamName) pv.StreamName {
+	for _, home := range e.settings.Layout.HomeStreams() {
+		if home == stream {
+			return home
+		}
+	}
+	return ""
+}
+
+// exchange passes configurations on: to an agent that is behind, and from one
+// that is ahead, as when the log can't be read here.
+func (e *Entry) exchange(theirs int64, address netip.AddrPort) {
+	state, known := e.config.State()
+	if known && theirs == int64(state.Next) {
+		return
+	}
+	body := &wire.Config{}
+	if known && theirs < int64(state.Next) {
+		body.State = follower.EncodeState(state)
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(e.ctx, e.settings.CallTimeout)
+		defer cancel()
+		f := e.frame()
+		f.Body = &wire.Frame_Config{Config: body}
+		reply, _, err := e.client.Call(ctx, address, f)
+		if err != nil || len(reply.GetConfig().GetState()) == 0 {
+			return
+		}
+		e.control.Post(func() { e.adopt(reply.GetConfig().State) })
+	}()
+}
+
+func (e *Entry) adopt(data []byte) {
+	state, err := follower.DecodeState(data)
+	if err != nil {
+		e.logger.Warn("entry: a peer's configuration can't be read", zap.Error(err))
+		return
+	}
+	if e.config.Adopt(state) {
+		e.configured(time.Now())
+	}
+}
--- a/follower/record.go
+++ b/follower/record.go
@@ -87,3 +87,19 @@
 	}
 	return r
 }
+
+// EncodeState returns the bytes in which a state passes between peers.
+func EncodeState(s State) []byte {
+	data, err := json.Marshal(s)
+	if err != nil {
+		panic(Error.Wrap(err)) // plain data
+	}
+	return data
+}
+
+// DecodeState reads a peer's state.
+func DecodeState(data []byte) (State, error) {
+	var s State
+	err := json.Unmarshal(data, &s)
+	return s, Error.Wrap(err)
+}
--- /dev/null
+++ b/placer/learner.go
@@ -0,0 +1,109 @@
+package placer
+
+// This file defines what is learned from reports. Everything starts at the
+// declaration, which counts as a few observations, and moves with the load.
+
+import (
+	"math"
+
+	pv "persimmonvalve"
+)
+
+const (
+	// priorWeight is how many observations the declaration counts for.
+	priorWeight = 6
+	// memoryOf bounds the weight of what was seen, so that estimates move.
+	memoryOf = 200
+	// spread is how many deviations above the mean a reservation lies.
+	spread = 2.0
+	// learnRate is the step of the pair costs.
+	learnRate = 0.15
+	// ratio bounds, as declarations are off by up to ten times.
+	leastRatio = 0.05
+	mostRatio  = 12.0
+)
+
+// average is a mean and variance whose old observations fade.
+type average struct {
+	weight, mean, variance float64
+}
+
+func (a *average) add(x float64) {
+	a.weight = min(a.weight+1, memoryOf)
+	step := 1 / a.weight
+	delta := x - a.mean
+	a.mean += step * delta
+	a.variance = (1 - step) * (a.variance + step*delta*delta)
+}
+
+func (a *average) high() float64 {
+	return a.mean + spread*math.Sqrt(a.variance)
+}
+
+// usage is what a kind uses in proportion to what it declares.
+type usage struct {
+	cores, memory average
+}
+
+func newUsage() *usage {
+	prior := average{weight: priorWeight, mean: 1}
+	return &usage{cores: prior, memory: prior}
+}
+
+func (u *usage) add(declared, used pv.Resources) {
+	if declared.MilliCores > 0 {
+		u.cores.add(float64(used.MilliCores) / float64(declared.MilliCores))
+	}
+	if declared.MemoryMB > 0 {
+		u.memory.add(float64(used.MemoryMB) / float64(declared.MemoryMB))
+	}
+}
+
+func scaled(n int64, ratio float64) int64 {
+	return int64(math.Ceil(float64(n) * min(max(ratio, leastRatio), mostRatio)))
+}
+
+func (u *usage) reserve(declared pv.Resources) pv.Resources {
+	r := declared
+	r.MilliCores = scaled(declared.MilliCores, u.cores.high())
+	r.MemoryMB = scaled(declared.MemoryMB, u.memory.high())
+	return r
+}
+
+type pair struct{ victim, neighbour string }
+
+// costs are the estimated slowdowns that one task of a kind adds to another.
+type costs struct {
+	pairs map[pair]float64
+	mean  average // of all victims and neighbours: what an unseen pair is taken for
+}
+
+func newCosts() *costs {
+	return &costs{pairs: map[pair]float64{}}
+}
+
+func (c *costs) of(victim, neighbour string) float64 {
+	if v, ok := c.pairs[pair{victim, neighbour}]; ok {
+		return v
+	}
+	return c.mean.mean
+}
+
+// add moves the costs of the pairs behind one measured slowdown towards it, by
+// the normalised least mean squares rule: the error is shared evenly.
+func (c *costs) add(victim string, slowdown float64, neighbours []pv.Neighbour) {
+	if len(neighbours) == 0 {
+		return
+	}
+	expected := 0.0
+	for _, n := range neighbours {
+		expected += c.of(victim, n.Kind)
+	}
+	miss := (slowdown - 1) - expected
+	step := learnRate * miss / float64(len(neighbours))
+	for _, n := range neighbours {
+		p := pair{victim, n.Kind}
+		c.pairs[p] = max(0, c.of(victim, n.Kind)+step)
+	}
+	c.mean.add(max(0, (slowdown-1)/float64(len(neighbours))))
+}
--- /dev/null
+++ b/runner/doc.go
@@ -0,0 +1,3 @@
+// Package runner holds what all programs share: settings from flags and
+// environment, logs, the address for health and metrics, and signals.
+package runner
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,86 @@
+package runner
+
+// This file defines how a program runs until it is told to stop.
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns the logger that the settings ask for.
+func NewLogger(c Common) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(c.LogLevel)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(level)
+	config.DisableStacktrace = true
+	if c.LogFormat == "console" {
+		config.Encoding = "console"
+		config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	}
+	logger, err := config.Build()
+	return logger, Error.Wrap(err)
+}
+
+// NewRegistry returns a registry with the process's own metrics.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// headerTimeout bounds how long a server waits for a request's headers.
+const headerTimeout = 5 * time.Second
+
+// ServeHTTP serves a handler on a listener until the returned stop is called,
+// which finishes the requests in progress.
+func ServeHTTP(l net.Listener, h http.Handler, logger *zap.Logger) (stop func(context.Context) error) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(l); err != nil && err != http.ErrServerClosed {
+			logger.Error("http: server ended", zap.Error(err))
+		}
+	}()
+	return func(ctx context.Context) error { return Error.Wrap(server.Shutdown(ctx)) }
+}
+
+// ServeAdmin serves /healthz, /readyz and /metrics.
+func ServeAdmin(address netip.AddrPort, ready func() bool, r *prometheus.Registry, logger *zap.Logger) (stop func(context.Context) error, err error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	logger.Info("admin: serves health and metrics", zap.Stringer("address", l.Addr()))
+	return ServeHTTP(l, mux, logger), nil
+}
+
+// StopTimeout bounds a graceful stop.
+const StopTimeout = 30 * time.Second
+
+// Wait returns when the process is told to stop by SIGTERM or SIGINT.
+func Wait() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	<-ctx.Done()
+}
--- /dev/null
+++ b/runner/settings.go
@@ -0,0 +1,130 @@
+package runner
+
+// This file defines the settings that programs share, and how they are read
+// and checked. All faults are reported at once.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-playground/validator/v10"
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+
+	pv "persimmonvalve"
+	"persimmonvalve/partitioner"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("settings")
+
+// Version is the version of all programs.
+const Version = "0.1.0"
+
+// Common are the settings of every program that runs for long.
+type Common struct {
+	LogLevel     string         `arg:"--log-level,env:PVALVE_LOG_LEVEL" default:"info" help:"debug, info, warn or error" validate:"oneof=debug info warn error"`
+	LogFormat    string         `arg:"--log-format,env:PVALVE_LOG_FORMAT" default:"json" help:"json or console" validate:"oneof=json console"`
+	AdminAddress netip.AddrPort `arg:"--admin-address,env:PVALVE_ADMIN_ADDRESS" default:"127.0.0.1:0" help:"IP and port for /healthz, /readyz and /metrics; port 0 takes a free one" validate:"address"`
+}
+
+// Process are the settings of a process of the system.
+type Process struct {
+	Name    string         `arg:"--name,env:PVALVE_NAME" help:"name of this process, unique on the site" validate:"required,max=100"`
+	Address netip.AddrPort `arg:"--address,env:PVALVE_ADDRESS" help:"IP and port to listen on" validate:"address"`
+	Region  string         `arg:"--region,env:PVALVE_REGION" help:"region of this host" validate:"required"`
+	Zone    string         `arg:"--zone,env:PVALVE_ZONE" help:"availability zone of this host" validate:"required"`
+	Rack    string         `arg:"--rack,env:PVALVE_RACK" help:"rack of this host"`
+}
+
+// Site are the settings that all processes of a site share.
+type Site struct {
+	LogURL       string   `arg:"--log-url,env:PVALVE_LOG_URL" help:"base URL of the platform's log service" validate:"required,url"`
+	FleetURL     string   `arg:"--fleet-url,env:PVALVE_FLEET_URL" help:"base URL of the platform's list of workers" validate:"required,url"`
+	Zones        []string `arg:"--zones,env:PVALVE_ZONES" help:"availability zones of the site, the same everywhere" validate:"min=1,dive,required"`
+	CellsPerZone int      `arg:"--cells-per-zone,env:PVALVE_CELLS_PER_ZONE" default:"1" help:"cells in each zone, the same everywhere" validate:"gte=1,lte=64"`
+	Homes        int      `arg:"--homes,env:PVALVE_HOMES" default:"4" help:"partitions of keys; never change it on a running site" validate:"gte=1,lte=256"`
+}
+
+// Layout returns the site's division into streams.
+func (s Site) Layout() partitioner.Layout {
+	return partitioner.Layout{Homes: s.Homes, Zones: s.Zones, CellsPerZone: s.CellsPerZone}
+}
+
+// Member returns the process as it announces itself, with a new incarnation.
+func (p Process) Member(role, service string) pv.Member {
+	return pv.Member{
+		Name: p.Name, Role: role, Address: p.Address, Service: service,
+		Place:       pv.Place{Region: p.Region, Zone: p.Zone, Rack: p.Rack},
+		Incarnation: pv.Incarnation(uuid.Must(uuid.NewV7()).String()),
+	}
+}
+
+// Exit codes of all programs.
+const (
+	ExitDone    = 0
+	ExitRefused = 1 // refused or failed, not run
+	ExitUsage   = 2
+	ExitUnknown = 3 // the outcome is unknown
+)
+
+// Parse reads flags and environment into settings and checks them. It returns
+// an exit code and false when the program should end at once.
+func Parse(program string, settings any, arguments []string, out, errOut io.Writer) (code int, ok bool) {
+	parser, err := arg.NewParser(arg.Config{Program: program, Out: out}, settings)
+	if err != nil {
+		panic(Error.Wrap(err)) // the settings' tags are wrong
+	}
+	err = parser.Parse(arguments)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return ExitDone, false
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(out, program, Version)
+		return ExitDone, false
+	case err != nil:
+		fmt.Fprintln(errOut, program+": "+err.Error())
+		return ExitUsage, false
+	}
+	if faults := Check(settings); len(faults) > 0 {
+		fmt.Fprintln(errOut, program+": "+strings.Join(faults, "\n"+program+": "))
+		return ExitUsage, false
+	}
+	return ExitDone, true
+}
+
+// Check returns every fault of the settings.
+func Check(settings any) []string {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	if err := check.RegisterValidation("address", validAddress); err != nil {
+		panic(Error.Wrap(err)) // only an empty tag is refused
+	}
+	err := check.Struct(settings)
+	var faults validator.ValidationErrors
+	if !errors.As(err, &faults) {
+		return nil
+	}
+	var out []string
+	for _, f := range faults {
+		rule := f.Tag()
+		if f.Param() != "" {
+			rule += "=" + f.Param()
+		}
+		out = append(out, fmt.Sprintf("%s is %q, which breaks the rule %q", f.Field(), fmt.Sprint(f.Value()), rule))
+	}
+	return out
+}
+
+func validAddress(f validator.FieldLevel) bool {
+	a, ok := f.Field().Interface().(netip.AddrPort)
+	return ok && a.IsValid()
+}
+
+// Arguments returns the program's own arguments.
+func Arguments() []string { return os.Args[1:] }
