Fuzz whole sites in memory under a paused clock

Cause: entries and agents together were tested only by the demo. Change: sites in memory under a paused clock, driven by drawn scripts.

--- /dev/null
+++ b/demonstrator/fuzz_test.go
@@ -0,0 +1,261 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	pv "persimmonvalve"
+	"persimmonvalve/entry"
+	"persimmonvalve/internal/apigen"
+	"persimmonvalve/internal/fuzz"
+	"persimmonvalve/standin"
+)
+
+func TestMain(m *testing.M) {
+	fuzz.Fix()
+	m.Run()
+}
+
+// step is one drawn step of a script.
+type step struct {
+	kind string
+	n    int
+	wait time.Duration
+}
+
+var stepKinds = []string{
+	"order", "order", "order", "lookup", "lookup", "submit", "cancel", "wait", "wait",
+	"crash agent", "leave agent", "crash entry", "outage", "lost acks", "lost appends", "slow log",
+	"slow endpoint", "cut answers", "cut sessions", "worker down",
+}
+
+func drawScript(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			kind: rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+			n:    rapid.IntRange(0, 5).Draw(t, "n"),
+			wait: time.Duration(rapid.SampledFrom([]int{0, 10, 100, 1000, 4000}).Draw(t, "ms")) * time.Millisecond,
+		}
+	}), 1, 40).Draw(t, "script")
+}
+
+// trial runs one script on one site and collects what breaks a promise.
+type trial struct {
+	s        *memorySite
+	mu       sync.Mutex
+	broken   []string
+	calls    sync.WaitGroup
+	outcomes map[pv.Outcome]int
+	sent     int
+	stopped  int
+}
+
+func (r *trial) breaks(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+// request sends one request and checks what its caller is told.
+func (r *trial) request(e *entry.Entry, plan, key, body string) {
+	r.calls.Go(func() {
+		params := apigen.DoRequestParams{Service: "cordPath", Plan: apigen.NewOptString(plan)}
+		if key != "" {
+			params.IdempotencyKey = apigen.NewOptString(key)
+		}
+		answer, err := e.DoRequest(context.Background(), apigen.DoRequestReq{Data: strings.NewReader(body)}, params)
+		outcome := pv.Finished
+		var f *entry.Failure
+		switch {
+		case errors.As(err, &f):
+			outcome = f.Outcome
+			if ran := r.ran(f.RequestID); outcome == pv.Refused && ran > 0 {
+				r.breaks("request %s was told it was not run (%s), and ran %d times", body, f.Reason, ran)
+			}
+		case err != nil:
+			r.breaks("request %s: %v", body, err)
+		default:
+			data, _ := io.ReadAll(answer.Response)
+			if got, want := string(data), "answer to "+body; got != want {
+				r.breaks("request got %q, want %q", got, want)
+			}
+		}
+		r.mu.Lock()
+		r.outcomes[outcome]++
+		r.mu.Unlock()
+	})
+}
+
+func (r *trial) ran(id string) int {
+	r.s.backend.mu.Lock()
+	defer r.s.backend.mu.Unlock()
+	return r.s.backend.byID[id]
+}
+
+func (r *trial) do(st step) {
+	s := r.s
+	e := s.entries[st.n%len(s.entries)]
+	switch st.kind {
+	case "order":
+		r.sent++
+		key := fmt.Sprintf("key-%d", st.n)
+		r.request(e, "cordOrder", key, "order "+key)
+	case "lookup":
+		r.sent++
+		r.request(e, "cordPath", "", fmt.Sprintf("lookup %d", r.sent))
+	case "submit":
+		id := fmt.Sprintf("task-%d", st.n)
+		r.calls.Go(func() {
+			_, _ = e.SubmitTask(context.Background(), &apigen.Submission{ID: apigen.NewOptString(id), Plan: "dialTension"})
+		})
+	case "cancel":
+		id := fmt.Sprintf("task-%d", st.n)
+		r.calls.Go(func() { _, _ = e.CancelTask(context.Background(), apigen.CancelTaskParams{ID: id}) })
+	case "crash agent", "leave agent":
+		r.replaceAgent(st)
+	case "crash entry":
+		// A crashed entry's callers see their connection break; here they are
+		// let finish, and a new entry takes over.
+		s.entries = append(s.entries, s.newEntry())
+	case "outage":
+		s.log.SetFaults(standin.LogFaults{Outage: st.n%2 == 0})
+	case "lost acks":
+		s.log.SetFaults(standin.LogFaults{LoseAcks: st.n})
+	case "lost appends":
+		s.log.SetFaults(standin.LogFaults{LoseRequests: st.n})
+	case "slow log":
+		s.log.SetFaults(standin.LogFaults{Delay: time.Duration(st.n) * 300 * time.Millisecond})
+	case "slow endpoint", "cut answers":
+		s.backend.mu.Lock()
+		s.backend.delay = time.Duration(1+st.n*200) * time.Millisecond
+		s.backend.cut = st.kind == "cut answers" && st.n%2 == 0
+		s.backend.mu.Unlock()
+	case "cut sessions":
+		s.network.cut()
+	case "worker down":
+		_ = s.workers.SetFaults(pv.WorkerID(fmt.Sprintf("w%d", st.n%3)), standin.WorkerFaults{Down: st.n%2 == 0, Crash: st.n == 5})
+	}
+	time.Sleep(st.wait)
+}
+
+func (r *trial) replaceAgent(st step) {
+	s := r.s
+	i := st.n % len(s.agents)
+	old := s.agents[i]
+	s.agents[i] = s.newAgent()
+	if st.kind == "crash agent" {
+		old.Abort()
+		return
+	}
+	r.stopped++
+	r.calls.Go(func() { _ = old.Stop(context.Background()) })
+}
+
+// watch checks, all the time, that no task runs in two places.
+func (r *trial) watch(done <-chan struct{}) {
+	for {
+		for task, places := range r.s.workers.Running() {
+			if len(places) > 1 {
+				r.breaks("task %s runs on %v", task, places)
+			}
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-done:
+			return
+		}
+	}
+}
+
+// settle takes the faults away, waits for all calls, and checks the account.
+func (r *trial) settle(ctx context.Context) {
+	s := r.s
+	s.log.SetFaults(standin.LogFaults{})
+	s.backend.mu.Lock()
+	s.backend.delay, s.backend.cut = time.Millisecond, false
+	s.backend.mu.Unlock()
+	for i := range 3 {
+		_ = s.workers.SetFaults(pv.WorkerID(fmt.Sprintf("w%d", i)), standin.WorkerFaults{})
+	}
+	r.calls.Wait()
+	time.Sleep(time.Minute)
+	s.backend.mu.Lock()
+	for body, n := range s.backend.byBody {
+		if strings.HasPrefix(body, "order") && n > 1 {
+			r.broken = append(r.broken, fmt.Sprintf("%s ran %d times", body, n))
+		}
+	}
+	if most := s.backend.most; most > memorySlots*len(s.agents)*4 {
+		r.broken = append(r.broken, fmt.Sprintf("%d requests ran at once", most))
+	}
+	s.backend.mu.Unlock()
+	report, err := s.entries[0].GetReport(ctx, apigen.GetReportParams{})
+	if err != nil {
+		r.breaks("no report: %v", err)
+		return
+	}
+	r.checkReport(report)
+}
+
+func (r *trial) checkReport(report *apigen.Report) {
+	for _, p := range report.Plans {
+		if p.Gap != 0 {
+			r.breaks("the account of %s doesn't close: %+v", p.Plan, p)
+		}
+		if p.Plan == "dialTension" && p.Waiting+p.Running > 0 {
+			r.breaks("%d tasks wait and %d run a minute after the last fault", p.Waiting, p.Running)
+		}
+		if p.Plan == "cordOrder" && p.Running > 0 {
+			r.breaks("%d orders are still open", p.Running)
+		}
+	}
+}
+
+// runScript runs a script in a bubble with its own clock.
+func runScript(t *testing.T, script []step, totals map[string]int) (broken []string) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		r := &trial{s: newMemorySite(3, 2, 3), outcomes: map[pv.Outcome]int{}}
+		defer r.s.stop()
+		if err := r.s.publish(ctx); err != nil {
+			broken = append(broken, err.Error())
+			return
+		}
+		time.Sleep(5 * time.Second)
+		done := make(chan struct{})
+		go r.watch(done)
+		for _, st := range script {
+			totals[st.kind]++
+			r.do(st)
+		}
+		r.settle(ctx)
+		close(done)
+		for outcome, n := range r.outcomes {
+			totals["told "+string(outcome)] += n
+		}
+		broken = r.broken
+	})
+	return broken
+}
+
+// TestSiteUnderFaults runs drawn scripts of work and faults on whole sites and
+// checks what callers are told against what really ran.
+func TestSiteUnderFaults(t *testing.T) {
+	totals := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		if broken := runScript(t, drawScript(rt), totals); len(broken) > 0 {
+			rt.Fatalf("%s", strings.Join(broken, "\n"))
+		}
+	})
+	t.Logf("steps and outcomes: %v", totals)
+}
--- /dev/null
+++ b/demonstrator/memory_test.go
@@ -0,0 +1,233 @@
+package demonstrator
+
+// This file defines a site in memory: the real entries and agents over pipes,
+// with a paused clock, so that hours of faults pass in seconds.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	pv "persimmonvalve"
+	"persimmonvalve/agent"
+	"persimmonvalve/entry"
+	"persimmonvalve/internal/apigen"
+	"persimmonvalve/messenger"
+	"persimmonvalve/partitioner"
+	"persimmonvalve/standin"
+)
+
+// network connects processes by pipes.
+type network struct {
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*listener
+	conns     []net.Conn
+	next      uint16
+}
+
+type listener struct {
+	n       *network
+	address netip.AddrPort
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (n *network) listen() *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.next++
+	l := &listener{
+		n: n, address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), n.next),
+		conns: make(chan net.Conn), closed: make(chan struct{}),
+	}
+	n.listeners[l.address] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
+
+func (n *network) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.listeners[address]
+	n.mu.Unlock()
+	if !ok {
+		return nil, errors.New("no such address")
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, near)
+	n.mu.Unlock()
+	return near, nil
+}
+
+// cut breaks all connections; processes connect again.
+func (n *network) cut() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	n.conns = nil
+}
+
+// backend is an endpoint that counts what ran, by request id and by body.
+type backend struct {
+	mu     sync.Mutex
+	delay  time.Duration
+	cut    bool
+	byID   map[string]int
+	byBody map[string]int
+	now    int
+	most   int
+}
+
+func (b *backend) Do(ctx context.Context, q pv.ServiceRequest) (pv.ServiceAnswer, error) {
+	b.mu.Lock()
+	b.byID[q.ID]++
+	b.byBody[string(q.Body)]++
+	b.now++
+	b.most = max(b.most, b.now)
+	delay, cut := b.delay, b.cut
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.now--
+		b.mu.Unlock()
+	}()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return pv.ServiceAnswer{}, ctx.Err()
+	}
+	if cut {
+		return pv.ServiceAnswer{}, errors.New("the answer broke off")
+	}
+	return pv.ServiceAnswer{Status: 200, Body: append([]byte("answer to "), q.Body...)}, nil
+}
+
+// memorySite is a site over a network in memory.
+type memorySite struct {
+	network *network
+	layout  partitioner.Layout
+	log     *standin.Log
+	workers *standin.Workers
+	backend *backend // shared by all endpoints, so that it counts every run
+	agents  []*agent.Agent
+	entries []*entry.Entry
+	started int
+}
+
+const memorySlots = 2
+
+func newMemorySite(agents, entries, workers int) *memorySite {
+	s := &memorySite{
+		network: &network{listeners: map[netip.AddrPort]*listener{}},
+		layout:  partitioner.Layout{Homes: 2, Zones: []string{"a"}, CellsPerZone: 1},
+		log:     standin.NewLog(),
+		workers: standin.NewWorkers(),
+		backend: &backend{byID: map[string]int{}, byBody: map[string]int{}, delay: 20 * time.Millisecond},
+	}
+	for i := range workers {
+		info := pv.WorkerInfo{ID: pv.WorkerID(fmt.Sprintf("w%d", i)), Place: pv.Place{Region: "r", Zone: "a", Rack: "k"}, Capacity: WorkerCapacity}
+		s.workers.Add(standin.NewWorkerCore(info, standin.Declared{}, time.Now()))
+	}
+	for range agents {
+		s.agents = append(s.agents, s.newAgent())
+	}
+	for range entries {
+		s.entries = append(s.entries, s.newEntry())
+	}
+	return s
+}
+
+func (s *memorySite) member(role, service string, address netip.AddrPort) pv.Member {
+	s.started++
+	return pv.Member{
+		Name: fmt.Sprintf("%s-%d", role, s.started), Role: role, Service: service, Address: address,
+		Place: pv.Place{Region: "r", Zone: "a"}, Incarnation: pv.Incarnation(fmt.Sprintf("%s/%d", role, s.started)),
+	}
+}
+
+func (s *memorySite) newAgent() *agent.Agent {
+	l := s.network.listen()
+	site := &Site{Options: DefaultOptions(), Layout: s.layout}
+	settings := site.agentSettings(s.member(pv.RoleAgent, "cordPath", l.address))
+	settings.Slots = memorySlots
+	settings.Connections = 2 * memorySlots
+	settings.Tick = 50 * time.Millisecond
+	return agent.New(settings, agent.Dependencies{
+		Platform: agent.Platform{Log: s.log, Fleet: s.workers, Workers: s.workers, Endpoint: s.backend},
+		Listener: l, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+	})
+}
+
+func (s *memorySite) newEntry() *entry.Entry {
+	settings := entry.DefaultSettings()
+	settings.Member = s.member(pv.RoleEntry, "", netip.AddrPort{})
+	settings.Layout = s.layout
+	settings.Tick = 50 * time.Millisecond
+	settings.ConfigPoll = 200 * time.Millisecond
+	settings.MemberPoll = 200 * time.Millisecond
+	settings.FleetPoll = time.Second
+	settings.AccountsEvery = time.Second
+	return entry.New(settings, entry.Dependencies{
+		Log: s.log, Fleet: s.workers, Client: messenger.NewClientWith(s.network.dial),
+		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(), Random: rand.New(rand.NewPCG(7, uint64(s.started))),
+	})
+}
+
+func (s *memorySite) publish(ctx context.Context) error {
+	e := s.entries[0]
+	for !e.Ready() {
+		_, err := e.PutAllowances(ctx, apigen.PutAllowancesReq{Data: strings.NewReader(demoAllowances)}, apigen.PutAllowancesParams{IfMatch: "-1"})
+		if err != nil && ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	_, err := e.PutPlans(ctx, apigen.PutPlansReq{Data: strings.NewReader(demoPlans)}, apigen.PutPlansParams{IfMatch: "-1"})
+	return err
+}
+
+func (s *memorySite) stop() {
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, e := range s.entries {
+		_ = e.Stop(done)
+	}
+	for _, a := range s.agents {
+		a.Abort()
+	}
+	s.network.cut()
+}
--- a/follower/fuzz_test.go
+++ b/follower/fuzz_test.go
@@ -29,7 +29,6 @@
 	versions  []pv.Offset
 	late      []Record // written, not appended yet
 	lie       bool     // mutant: checkpoints claim to reach to where they land
-	steps     *int
 }
 
 func (m *model) append(r Record) {
