Fix a crash of the router found by fuzzing whole sites

Cause: an answer came from an endpoint that had left the subset; its service had no latencies yet, and the median of none was taken. Ruled out: the session library, which only brought the late answer.

--- a/internal/fuzz/fuzz.go
+++ b/internal/fuzz/fuzz.go
@@ -26,6 +26,12 @@
 	set("rapid.nofailfile", "PVALVE_FUZZ_NOFAILFILE", "true")
 }
 
+// Checks sets how many checks the next test runs where the environment doesn't
+// say, for tests whose checks are long.
+func Checks(n string) {
+	set("rapid.checks", "PVALVE_FUZZ_CHECKS", n)
+}
+
 func set(name, variable, fallback string) {
 	value := cmp.Or(os.Getenv(variable), fallback)
 	if err := flag.Set(name, value); err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -306,8 +306,8 @@
 // service, so that a probe after the pause can find it well again.
 func (c *Core) ejectSlow(now time.Time, e *Endpoint) {
 	peers := c.endpoints[e.Member.Service]
-	if len(peers) < 3 || e.asked < 5 {
-		return
+	if len(peers) < 3 || e.asked < 5 || c.byName[e.Member.Name] != e {
+		return // too little to compare, or it left the subset meanwhile
 	}
 	latencies := make([]time.Duration, 0, len(peers))
 	for _, p := range peers {
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	pv "persimmonvalve"
+)
+
+func member(i int, zone, region string) pv.Member {
+	return pv.Member{
+		Name: fmt.Sprintf("agent-%d", i), Role: pv.RoleAgent, Service: "s",
+		Place: pv.Place{Region: region, Zone: zone}, Incarnation: pv.Incarnation(fmt.Sprintf("i%d", i)),
+	}
+}
+
+func newRouter(members ...pv.Member) (*Core, time.Time) {
+	now := time.Unix(1000, 0)
+	self := pv.Member{Name: "entry", Place: pv.Place{Region: "r", Zone: "a"}}
+	c := New(DefaultSettings(), self, rand.New(rand.NewPCG(1, 1)))
+	c.SetMembers(now, members)
+	return c, now
+}
+
+func TestNearestTierFirst(t *testing.T) {
+	c, now := newRouter(member(1, "a", "r"), member(2, "b", "r"), member(3, "x", "far"))
+	steps := []struct {
+		tried map[string]bool
+		want  string
+	}{
+		{nil, "agent-1"},
+		{map[string]bool{"agent-1": true}, "agent-2"},
+		{map[string]bool{"agent-1": true, "agent-2": true}, "agent-3"},
+	}
+	for _, s := range steps {
+		e, reason := c.Choose(now, Request{Service: "s", Bytes: 10, Tried: s.tried})
+		if reason != pv.NoReason || e.Member.Name != s.want {
+			t.Errorf("tried %v: got %v %s, want %s", s.tried, e, reason, s.want)
+		}
+	}
+}
+
+func TestFullTierSpillsOver(t *testing.T) {
+	c, now := newRouter(member(1, "a", "r"), member(2, "b", "r"))
+	c.Report(now, "agent-1", 8, 8, false)
+	c.Report(now, "agent-2", 0, 8, false)
+	e, _ := c.Choose(now, Request{Service: "s"})
+	if got, want := e.Member.Name, "agent-2"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func TestLinkBudget(t *testing.T) {
+	c, now := newRouter(member(3, "x", "far"))
+	budget := DefaultSettings().LinkBurst
+	if _, reason := c.Choose(now, Request{Service: "s", Bytes: budget}); reason != pv.NoReason {
+		t.Errorf("within the budget: got %s, want none", reason)
+	}
+	if _, reason := c.Choose(now, Request{Service: "s", Bytes: budget}); reason != pv.ReasonLink {
+		t.Errorf("over the budget: got %s, want %s", reason, pv.ReasonLink)
+	}
+}
+
+// A leaving or silent endpoint gets nothing, and a new incarnation under the
+// same name starts afresh.
+func TestLeavingSilentRestarted(t *testing.T) {
+	c, now := newRouter(member(1, "a", "r"))
+	c.Report(now, "agent-1", 0, 8, true)
+	if _, reason := c.Choose(now, Request{Service: "s"}); reason != pv.ReasonNoEndpoint {
+		t.Errorf("leaving: got %q, want %s", reason, pv.ReasonNoEndpoint)
+	}
+	again := member(1, "a", "r")
+	again.Incarnation = "later"
+	c.SetMembers(now, []pv.Member{again})
+	if _, reason := c.Choose(now, Request{Service: "s"}); reason != pv.NoReason {
+		t.Errorf("restarted: got %q, want none", reason)
+	}
+	if _, reason := c.Choose(now.Add(3*time.Second), Request{Service: "s"}); reason != pv.ReasonNoEndpoint {
+		t.Errorf("silent: got %q, want %s", reason, pv.ReasonNoEndpoint)
+	}
+}
+
+func TestFailingEndpointIsEjectedAndProbedBack(t *testing.T) {
+	c, now := newRouter(member(1, "a", "r"), member(2, "a", "r"), member(3, "a", "r"))
+	bad := c.byName["agent-1"]
+	for range DefaultSettings().EjectAfter {
+		c.Began(bad)
+		c.Answered(now, bad, time.Millisecond, false)
+	}
+	chosen := func(at time.Time) int {
+		n := 0
+		for range 200 {
+			for _, e := range c.Endpoints() {
+				e.Heard = at
+			}
+			if e, _ := c.Choose(at, Request{Service: "s"}); e == bad {
+				n++
+			}
+		}
+		return n
+	}
+	if got := chosen(now); got != 0 {
+		t.Errorf("ejected: got %d choices, want 0", got)
+	}
+	if got := chosen(now.Add(time.Second)); got == 0 {
+		t.Error("after the pause: got no choice, want some")
+	}
+}
+
+// An answer may come from an endpoint that has left the subset meanwhile; the
+// whole-site fuzzing found that this crashed the entry.
+func TestAnswerOfForgottenEndpoint(t *testing.T) {
+	c, now := newRouter(member(1, "a", "r"), member(2, "a", "r"), member(3, "a", "r"))
+	old := c.byName["agent-1"]
+	for range 6 {
+		c.Began(old)
+		c.Answered(now, old, time.Millisecond, true)
+	}
+	c.SetMembers(now, []pv.Member{member(4, "a", "r"), member(5, "a", "r"), member(6, "a", "r")})
+	c.Began(old)
+	c.Answered(now, old, time.Second, true)
+	if got, want := old.Own, 0; got != want {
+		t.Errorf("own requests: got %d, want %d", got, want)
+	}
+}
