Keep headroom for urgent tasks instead of evicting for each of them

Cause: in a full cell every urgent task evicted one batch task, which then took the room back: 0.2 urgent tasks/s gave 0.18 evictions/s, and their shared budget of one in five seconds held the urgent tasks up. Change: batch work above its guarantee leaves the room that urgent plans had lately, plus 2.5 deviations, up to their guarantee; urgent work has its own eviction budget and waits 100 ms instead of 1 s for it.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -95,6 +95,7 @@
 	clean    bool      // the predecessor had stopped granting leases
 	kinds    map[string]*kindHealth
 	wave     mitigation
+	room     headroom
 	Counters Counters
 }
 
@@ -169,6 +170,7 @@
 	}
 	calls = append(calls, c.reconcile(now)...)
 	if !c.settings.Passive {
+		c.watchDemand(now)
 		calls = append(calls, c.mitigate(now)...)
 	}
 	c.start(now)
--- a/scheduler/mitigate.go
+++ b/scheduler/mitigate.go
@@ -25,6 +25,9 @@
 	evictBurst    = 4
 	payBack       = 3 // useful run time ahead against work lost
 	preemptWait   = time.Second
+	urgentWait    = 100 * time.Millisecond // the same for urgent work
+	urgentEvery   = 500 * time.Millisecond // mean pause between evictions for urgent work
+	urgentBurst   = 16
 	fullSpeed     = 1.0
 	throttleTrial = 10 * time.Second // a throttle that doesn't help by then leads to a move
 )
@@ -35,6 +38,7 @@
 	calm    map[pv.WorkerID]int
 	seen    map[pv.WorkerID]time.Time // report last looked at
 	budget  *rate.Limiter
+	urgent  *rate.Limiter        // evictions for urgent work
 	starved map[string]time.Time // plans below their guarantee that found no room
 }
 
@@ -45,6 +49,7 @@
 			calm:    map[pv.WorkerID]int{},
 			seen:    map[pv.WorkerID]time.Time{},
 			budget:  rate.NewLimiter(rate.Every(evictEvery), evictBurst),
+			urgent:  rate.NewLimiter(rate.Every(urgentEvery), urgentBurst),
 			starved: map[string]time.Time{},
 		}
 	}
@@ -174,7 +179,11 @@
 			c.wave.starved[d.Plan] = now
 			continue
 		}
-		if now.Sub(since) >= preemptWait && c.preemptFor(now, d) {
+		wait := preemptWait
+		if d.Class == pv.Urgent {
+			wait = urgentWait
+		}
+		if now.Sub(since) >= wait && c.preemptFor(now, d) {
 			c.wave.starved[d.Plan] = now
 		}
 	}
@@ -192,7 +201,11 @@
 		return false // it would go above its guarantee
 	}
 	victim := c.victim(now, d, need)
-	if victim == nil || !c.wave.budget.AllowN(now, 1) {
+	budget := c.wave.budget
+	if d.Class == pv.Urgent {
+		budget = c.wave.urgent
+	}
+	if victim == nil || !budget.AllowN(now, 1) {
 		return false
 	}
 	c.stateOf(victim.AttemptID()).stopCause = pv.ReasonPreempted
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -110,6 +110,9 @@
 	if !ok {
 		return false
 	}
+	if c.keepsHeadroom(*d, reserve) && !c.leavesRoom(candidates, i, reserve) {
+		return false
+	}
 	if !c.proposeStart(now, t, reserve, c.workers[candidates[i].Worker]) {
 		return false
 	}
@@ -117,6 +120,12 @@
 	return true
 }
 
+// keepsHeadroom reports whether a start has to leave room for urgent work:
+// batch work does where it goes above its guarantee.
+func (c *Core) keepsHeadroom(d sharer.Demand, reserve pv.Resources) bool {
+	return !c.settings.Passive && d.Class != pv.Urgent && !d.Used.Add(reserve).Fits(d.Allowance.Guaranteed)
+}
+
 // candidates returns the workers that take starts, with what is left of each
 // after valid starts and those on their way.
 func (c *Core) candidates(now time.Time) []pv.Candidate {
