Learn noise fast and forget it slowly; throttle the loudest task

Cause: in waves the estimate of a pair's cost followed the mean and was low again when the next wave came; the task that was throttled was the largest by reservation, and all had the same. Change: pair costs rise by 0.15 of a miss and fall by 0.01; the act on noise takes the task that the estimates blame most.

--- a/experimenter/policies.go
+++ b/experimenter/policies.go
@@ -111,6 +111,10 @@
 
 func newOracle(w *world) pv.Placer { return oracle{w} }
 
+func (o oracle) Cost(victim, neighbour string) float64 {
+	return o.w.truth.Cost(o.w.now, victim, neighbour)
+}
+
 func (o oracle) Reserve(spec pv.TaskSpec) pv.Resources { return o.w.truth.Use(spec) }
 
 func (oracle) Observe(time.Time, pv.Observation) {}
--- a/placer/learner.go
+++ b/placer/learner.go
@@ -11,13 +11,16 @@
 
 const (
 	// priorWeight is how many observations the declaration counts for.
-	priorWeight = 6
+	priorWeight = 2
 	// memoryOf bounds the weight of what was seen, so that estimates move.
-	memoryOf = 200
+	memoryOf = 100
 	// spread is how many deviations above the mean a reservation lies.
 	spread = 2.0
-	// learnRate is the step of the pair costs.
-	learnRate = 0.15
+	// learnRate is the step of the pair costs upwards. Noise comes in waves, and
+	// a kind that was loud minutes ago is likely to be so again: estimates rise
+	// at once and fall slowly.
+	learnRate  = 0.15
+	forgetRate = 0.01
 	// ratio bounds, as declarations are off by up to ten times.
 	leastRatio = 0.05
 	mostRatio  = 12.0
@@ -59,8 +62,13 @@
 	}
 }
 
+// steps is how finely reservations are rounded; a finer one would make room
+// for a whole task less by the last trace of an old estimate.
+const steps = 50
+
 func scaled(n int64, ratio float64) int64 {
-	return int64(math.Ceil(float64(n) * min(max(ratio, leastRatio), mostRatio)))
+	rounded := math.Round(min(max(ratio, leastRatio), mostRatio)*steps) / steps
+	return int64(math.Ceil(float64(n) * rounded))
 }
 
 func (u *usage) reserve(declared pv.Resources) pv.Resources {
@@ -100,7 +108,11 @@
 		expected += c.of(victim, n.Kind)
 	}
 	miss := (slowdown - 1) - expected
-	step := learnRate * miss / float64(len(neighbours))
+	rate := learnRate
+	if miss < 0 {
+		rate = forgetRate
+	}
+	step := rate * miss / float64(len(neighbours))
 	for _, n := range neighbours {
 		p := pair{victim, n.Kind}
 		c.pairs[p] = max(0, c.of(victim, n.Kind)+step)
--- a/placer/policy.go
+++ b/placer/policy.go
@@ -16,7 +16,10 @@
 	costs   *costs
 }
 
-var _ pv.Placer = (*Policy)(nil)
+var (
+	_ pv.Placer        = (*Policy)(nil)
+	_ pv.CostEstimator = (*Policy)(nil)
+)
 
 // New returns a policy that has learned nothing yet.
 func New(weights pv.Weights) *Policy {
@@ -44,6 +47,9 @@
 	p.costs.add(o.Kind, o.Slowdown, o.Neighbours)
 }
 
+// Cost implements pv.CostEstimator.
+func (p *Policy) Cost(victim, neighbour string) float64 { return p.costs.of(victim, neighbour) }
+
 // Reserve implements pv.Placer. Slots and accelerators are whole units and
 // count as declared.
 func (p *Policy) Reserve(spec pv.TaskSpec) pv.Resources {
--- a/policy.go
+++ b/policy.go
@@ -41,3 +41,10 @@
 	// Observe takes in one attempt of a report.
 	Observe(now time.Time, o Observation)
 }
+
+// CostEstimator is the optional interface of a placer that knows what kinds
+// cost each other.
+type CostEstimator interface {
+	// Cost returns the slowdown that a neighbour adds to a victim; 0 is none.
+	Cost(victim, neighbour string) float64
+}
--- a/scheduler/mitigate.go
+++ b/scheduler/mitigate.go
@@ -19,7 +19,7 @@
 const (
 	noisyAbove    = 1.5 // slowdown of urgent work that calls for an act
 	calmBelow     = 1.15
-	throttleTo    = 0.5
+	throttleTo    = float64(throttleNumerator) / throttleDenominator
 	lagReports    = 2               // reports that must agree before an act
 	evictEvery    = 5 * time.Second // mean pause between evictions of a cell
 	evictBurst    = 4
@@ -32,6 +32,12 @@
 	throttleTrial = 10 * time.Second // a throttle that doesn't help by then leads to a move
 )
 
+// The share of full speed to which a task is throttled.
+const (
+	throttleNumerator   = 1
+	throttleDenominator = 2
+)
+
 // mitigation is the state of noise handling for the cell.
 type mitigation struct {
 	noisy   map[pv.WorkerID]int // reports in a row with slowed urgent work
@@ -100,10 +106,11 @@
 	return worst
 }
 
-// actOnNoise throttles the largest batch task that isn't throttled yet; if all
-// are and it didn't help, it moves one.
+// actOnNoise throttles the batch task that is taken to disturb most and isn't
+// throttled yet; if all are and it didn't help, it moves one.
 func (c *Core) actOnNoise(now time.Time, w *worker) []Call {
-	var largest, moved *recorder.Task
+	var loudest, moved *recorder.Task
+	noise := func(t *recorder.Task) float64 { return c.noise(w, t) }
 	for _, t := range c.running(w.info.ID) {
 		if t.Spec.Class == pv.Urgent || c.pending[t.Spec.ID] {
 			continue
@@ -112,14 +119,14 @@
 		switch {
 		case s.stopCause != pv.NoReason:
 			return nil // one act at a time
-		case !s.throttled && larger(t, largest):
-			largest = t
-		case s.throttled && now.Sub(s.throttledAt) >= throttleTrial && c.paysBack(t, s) && larger(t, moved):
+		case !s.throttled && (loudest == nil || noise(t) > noise(loudest)):
+			loudest = t
+		case s.throttled && now.Sub(s.throttledAt) >= throttleTrial && c.paysBack(t, s) && (moved == nil || noise(t) > noise(moved)):
 			moved = t
 		}
 	}
-	if largest != nil {
-		return []Call{c.throttle(now, w, largest, throttleTo)}
+	if loudest != nil {
+		return []Call{c.throttle(now, w, loudest, throttleTo)}
 	}
 	if moved != nil && c.wave.budget.AllowN(now, 1) {
 		c.stateOf(moved.AttemptID()).stopCause = pv.ReasonNoise
@@ -127,8 +134,21 @@
 	return nil
 }
 
-func larger(t, than *recorder.Task) bool {
-	return than == nil || t.Reserve.MilliCores > than.Reserve.MilliCores
+// noise is what a task costs the urgent work beside it; its size, where the
+// placer doesn't know.
+func (c *Core) noise(w *worker, t *recorder.Task) float64 {
+	estimator, ok := c.placer.(pv.CostEstimator)
+	if !ok {
+		return t.Reserve.Share(w.info.Capacity)
+	}
+	sum := 0.0
+	for _, r := range w.report.Runs {
+		victim, ok := c.ledger.Tasks[r.Task]
+		if ok && victim.Spec.Class == pv.Urgent && r.State == pv.RunRunning {
+			sum += estimator.Cost(victim.Spec.Kind, t.Spec.Kind)
+		}
+	}
+	return sum
 }
 
 // paysBack reports whether moving a task leaves more useful run time ahead
