--- a/internal/fuzz/fuzz.go
+++ b/internal/fuzz/fuzz.go
@@ -32,6 +32,14 @@
 	set("rapid.checks", "PVALVE_FUZZ_CHECKS", n)
 }
 
+// Exactly sets how many checks the next test runs at most, whatever the
+// environment says: a mutant has to be caught in a short run as well.
+func Exactly(n string) {
+	if err := flag.Set("rapid.checks", n); err != nil {
+		panic("fuzz: " + err.Error())
+	}
+}
+
 func set(name, variable, fallback string) {
 	value := cmp.Or(os.Getenv(variable), fallback)
 	if err := flag.Set(name, value); err != nil {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -216,21 +216,32 @@
 	running := c.neighbours(w, pv.AttemptID{})
 	for _, r := range w.report.Runs {
 		t, ok := c.ledger.Tasks[r.Task]
-		if !ok || r.State != pv.RunRunning {
-			continue
+		if !ok || r.State != pv.RunRunning || r.Used == (pv.Resources{}) {
+			continue // not measured yet: use is reported with a lag
 		}
 		c.placer.Observe(now, pv.Observation{
 			Worker:     w.info.ID,
 			Kind:       t.Spec.Kind,
 			Class:      t.Spec.Class,
 			Declared:   t.Spec.Size,
-			Used:       r.Used,
+			Used:       c.atFullSpeed(r),
 			Slowdown:   r.Slowdown,
 			Neighbours: without(running, t.Spec.Kind),
 		})
 	}
 }
 
+// atFullSpeed returns what an attempt would use without its throttle.
+func (c *Core) atFullSpeed(r pv.Run) pv.Resources {
+	s, ok := c.attempts[r.AttemptID]
+	if !ok || !s.throttled {
+		return r.Used
+	}
+	used := r.Used.Scale(throttleDenominator, throttleNumerator)
+	used.MemoryMB = r.Used.MemoryMB // a throttle takes no memory away
+	return used
+}
+
 // without returns neighbours less one of a kind.
 func without(neighbours []pv.Neighbour, kind string) []pv.Neighbour {
 	i := slices.IndexFunc(neighbours, func(n pv.Neighbour) bool { return n.Kind == kind })
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -128,7 +128,8 @@
 
 func (w *WorkerCore) progressRun(now time.Time, r *run, elapsed time.Duration) {
 	r.Slowdown = w.slowdown(now, r)
-	r.Used = w.truth.Use(r.spec).Scale(int64(1000*r.throttle), 1000)
+	r.Used = w.truth.Use(r.spec)
+	r.Used.MilliCores = int64(float64(r.Used.MilliCores) * r.throttle)
 	done := time.Duration(float64(elapsed) * r.throttle / r.Slowdown)
 	r.Progress += done
 	w.Worked += done
