Evict nothing while the log can't be written

Cause: what is stopped during an outage can't be started elsewhere. Change: the scheduler is told whether the log could be read a moment ago; without it, it throttles but neither moves nor preempts.

--- a/agent/stream.go
+++ b/agent/stream.go
@@ -225,7 +225,7 @@
 		a.sweep(now, s)
 		return
 	}
-	for _, call := range s.scheduler.Tick(now) {
+	for _, call := range s.scheduler.Tick(now, s.core.Writable(now)) {
 		go func() {
 			r := a.callWorker(call)
 			a.control.Post(func() { s.scheduler.Answer(time.Now(), r) })
--- a/holder/core.go
+++ b/holder/core.go
@@ -158,6 +158,15 @@
 	return c.ledger.HeldBy(c.settings.Me) && now.Sub(c.readAt) < c.settings.Authority
 }
 
+// writableFor is how many polls may fail before the log counts as down.
+const writableFor = 3
+
+// Writable reports whether the log could be read a moment ago, so that a
+// record would probably land now.
+func (c *Core) Writable(now time.Time) bool {
+	return now.Sub(c.polledAt) <= writableFor*c.settings.Poll
+}
+
 // Term returns the stream's current term.
 func (c *Core) Term() pv.Term { return c.ledger.Term }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -159,8 +159,9 @@
 }
 
 // Tick decides once. It returns the calls to send now; records go to the
-// proposer. The caller ticks only while it holds the term.
-func (c *Core) Tick(now time.Time) []Call {
+// proposer. The caller ticks only while it holds the term. While the log can't
+// be written nothing is evicted: what stops then can't start again.
+func (c *Core) Tick(now time.Time, writable bool) []Call {
 	c.expireCalls(now)
 	var calls []Call
 	for _, id := range c.order {
@@ -171,7 +172,7 @@
 	calls = append(calls, c.reconcile(now)...)
 	if !c.settings.Passive {
 		c.watchDemand(now)
-		calls = append(calls, c.mitigate(now)...)
+		calls = append(calls, c.mitigate(now, writable)...)
 	}
 	c.start(now)
 	return calls
--- a/scheduler/mitigate.go
+++ b/scheduler/mitigate.go
@@ -48,7 +48,7 @@
 	starved map[string]time.Time // plans below their guarantee that found no room
 }
 
-func (c *Core) mitigate(now time.Time) []Call {
+func (c *Core) mitigate(now time.Time, writable bool) []Call {
 	if c.wave.noisy == nil {
 		c.wave = mitigation{
 			noisy:   map[pv.WorkerID]int{},
@@ -64,15 +64,17 @@
 		w := c.workers[id]
 		if w.leased(now) && c.wave.seen[id] != w.reportAt {
 			c.wave.seen[id] = w.reportAt
-			calls = append(calls, c.quieten(now, w)...)
+			calls = append(calls, c.quieten(now, w, writable)...)
 		}
 	}
-	c.preempt(now)
+	if writable {
+		c.preempt(now)
+	}
 	return calls
 }
 
 // quieten looks at one new report of a worker.
-func (c *Core) quieten(now time.Time, w *worker) []Call {
+func (c *Core) quieten(now time.Time, w *worker, writable bool) []Call {
 	id := w.info.ID
 	worst := c.worstSlowdown(w)
 	switch {
@@ -87,7 +89,7 @@
 	}
 	if c.wave.noisy[id] >= lagReports {
 		c.wave.noisy[id] = 0
-		return c.actOnNoise(now, w)
+		return c.actOnNoise(now, w, writable)
 	}
 	if c.wave.calm[id] >= 2*lagReports {
 		return c.release(now, w)
@@ -108,7 +110,7 @@
 
 // actOnNoise throttles the batch task that is taken to disturb most and isn't
 // throttled yet; if all are and it didn't help, it moves one.
-func (c *Core) actOnNoise(now time.Time, w *worker) []Call {
+func (c *Core) actOnNoise(now time.Time, w *worker, writable bool) []Call {
 	var loudest, moved *recorder.Task
 	noise := func(t *recorder.Task) float64 { return c.noise(w, t) }
 	for _, t := range c.running(w.info.ID) {
@@ -128,7 +130,7 @@
 	if loudest != nil {
 		return []Call{c.throttle(now, w, loudest, throttleTo)}
 	}
-	if moved != nil && c.wave.budget.AllowN(now, 1) {
+	if moved != nil && writable && c.wave.budget.AllowN(now, 1) {
 		c.stateOf(moved.AttemptID()).stopCause = pv.ReasonNoise
 	}
 	return nil
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -183,7 +183,7 @@
 		})
 	}
 	in.scheduler.SetFleet(m.infos())
-	for _, c := range in.scheduler.Tick(m.now) {
+	for _, c := range in.scheduler.Tick(m.now, in.holder.Writable(m.now)) {
 		m.messages = append(m.messages, message{from: in, to: in.scheduler, worker: m.index(c.Worker.ID), call: c})
 	}
 }
