Let entries queue what endpoints can't run yet

Cause: with 512 places an entry let a flood through to the endpoints' guards, where requests wait in order of arrival whatever their plan. Change: an entry's places follow twice the slots of its open endpoints, divided by the entries, so that the admission queue with its shares decides.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -58,6 +58,7 @@
 // Core is the state of admission. It isn't safe for concurrent use.
 type Core struct {
 	settings Settings
+	places   int // in force
 	entries  int // that share the plans' rates
 	plans    map[string]*plan
 	names    []string
@@ -69,7 +70,7 @@
 
 // New returns a core that knows no plans.
 func New(settings Settings) *Core {
-	return &Core{settings: settings, entries: 1, plans: map[string]*plan{}}
+	return &Core{settings: settings, places: settings.Places, entries: 1, plans: map[string]*plan{}}
 }
 
 // Configure sets the plans and allowances, and how many entries share the
@@ -109,6 +110,14 @@
 	s.limiter.SetBurstAt(now, burst)
 }
 
+// SetPlaces sets how many requests may be in progress, within the settings'
+// bound. Entries follow the slots that their endpoints have: what can't run yet
+// waits here, where class, plan and deadline count, and not at an endpoint.
+func (c *Core) SetPlaces(now time.Time, places int) {
+	c.places = min(max(places, 1), c.settings.Places)
+	c.fill(now)
+}
+
 // Offer decides about a request: admitted, waiting, or refused with a reason.
 func (c *Core) Offer(now time.Time, t *Ticket) Decision {
 	p, ok := c.plans[t.Plan]
@@ -121,7 +130,7 @@
 	if c.late(now, p, t) {
 		return Decision{Reason: pv.ReasonDeadline}
 	}
-	if c.busy < c.settings.Places && c.waiting == 0 {
+	if c.busy < c.places && c.waiting == 0 {
 		c.enter(p)
 		return Decision{Admitted: true}
 	}
@@ -173,7 +182,7 @@
 	if total <= 0 {
 		return 0
 	}
-	return int(float64(c.settings.Places) * p.allowance.RequestsPerSec / total)
+	return int(float64(c.places) * p.allowance.RequestsPerSec / total)
 }
 
 func (c *Core) enter(p *plan) {
@@ -235,7 +244,7 @@
 
 // fill gives free places to waiting plans in the sharer's order.
 func (c *Core) fill(now time.Time) {
-	for c.busy < c.settings.Places && c.waiting > 0 {
+	for c.busy < c.places && c.waiting > 0 {
 		p := c.first(now)
 		if p == nil {
 			return
@@ -265,7 +274,7 @@
 	if len(demands) == 0 {
 		return nil
 	}
-	order := sharer.Order(demands, pv.Resources{Slots: int64(c.settings.Places)})
+	order := sharer.Order(demands, pv.Resources{Slots: int64(c.places)})
 	return c.plans[demands[order[0]].Plan]
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,8 +161,16 @@
 	}
 }
 
+// placesPerSlot is how many requests are let in for each slot of the
+// endpoints: some are on the way while others run, and entries share unevenly.
+const placesPerSlot = 2
+
 // tick runs on the control goroutine.
 func (e *Entry) tick(now time.Time) {
+	if slots := e.routing.Slots(now); slots > 0 {
+		entries := max(1, len(e.members.Members(pv.RoleEntry)))
+		e.admission.SetPlaces(now, slots*placesPerSlot/entries)
+	}
 	e.admission.Expire(now)
 	e.announce(now)
 	e.askAll(now)
--- a/experimenter/requests.go
+++ b/experimenter/requests.go
@@ -49,6 +49,7 @@
 
 // quick is one quick request.
 type quick struct {
+	plan     string
 	arrived  time.Time
 	deadline time.Time
 	admitted time.Time
@@ -57,13 +58,13 @@
 	tried    map[string]bool
 }
 
-func (w *world) arrive() {
-	q := &quick{arrived: w.now, deadline: w.now.Add(w.site.deadline), tried: map[string]bool{}}
+func (w *world) arrive(plan string) {
+	q := &quick{plan: plan, arrived: w.now, deadline: w.now.Add(w.site.deadline), tried: map[string]bool{}}
 	w.after(w.site.client, func() { w.offer(q) })
 }
 
 func (w *world) offer(q *quick) {
-	ticket := &admitter.Ticket{Plan: planService, Deadline: q.deadline, Decided: func(reason pv.Reason) {
+	ticket := &admitter.Ticket{Plan: q.plan, Deadline: q.deadline, Decided: func(reason pv.Reason) {
 		if reason != pv.NoReason {
 			w.results.refused(q, reason)
 			return
@@ -185,7 +186,7 @@
 func (w *world) retry(q *quick, f retrier.Failure) {
 	wait, stop := w.retries.Next(w.now, retrier.Request{Tries: max(q.tries, 1), Limit: retryLimit, Idempotent: true, Deadline: q.deadline}, f)
 	if stop != pv.NoReason {
-		w.admission.Done(w.now, planService, w.now.Sub(q.admitted))
+		w.admission.Done(w.now, q.plan, w.now.Sub(q.admitted))
 		w.results.refused(q, f.Reason)
 		return
 	}
@@ -194,6 +195,6 @@
 }
 
 func (w *world) finish(q *quick) {
-	w.admission.Done(w.now, planService, w.now.Sub(q.admitted))
+	w.admission.Done(w.now, q.plan, w.now.Sub(q.admitted))
 	w.after(w.site.client, func() { w.results.answered(q, w.now) })
 }
--- a/router/router.go
+++ b/router/router.go
@@ -342,6 +342,18 @@
 	e.failures = 0
 }
 
+// Slots returns how many requests the open endpoints of all services run at
+// once.
+func (c *Core) Slots(now time.Time) int {
+	sum := 0
+	for _, e := range c.byName {
+		if c.open(now, e) {
+			sum += e.Slots
+		}
+	}
+	return sum
+}
+
 // Endpoints returns the endpoints of all services in a fixed order.
 func (c *Core) Endpoints() []*Endpoint {
 	out := make([]*Endpoint, 0, len(c.byName))
