Let a flood of urgent work respect the headroom of others

Cause: only batch work left the headroom free; a flood of urgent tasks without a guarantee took it, and every guaranteed urgent task then evicted one. Change: whatever goes above its own guarantee leaves the headroom.

--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -120,10 +120,10 @@
 	return true
 }
 
-// keepsHeadroom reports whether a start has to leave room for urgent work:
-// batch work does where it goes above its guarantee.
+// keepsHeadroom reports whether a start has to leave room for urgent work: all
+// work does that goes above its own guarantee, whatever its class.
 func (c *Core) keepsHeadroom(d sharer.Demand, reserve pv.Resources) bool {
-	return !c.settings.Passive && d.Class != pv.Urgent && !d.Used.Add(reserve).Fits(d.Allowance.Guaranteed)
+	return !c.settings.Passive && !d.Used.Add(reserve).Fits(d.Allowance.Guaranteed)
 }
 
 // candidates returns the workers that take starts, with what is left of each
