--- a/cmd/pvalve-agent/main.go
+++ b/cmd/pvalve-agent/main.go
@@ -13,6 +13,7 @@
 	"persimmonvalve/agent"
 	"persimmonvalve/connector"
 	"persimmonvalve/internal/logfield"
+	"persimmonvalve/internal/meter"
 	"persimmonvalve/runner"
 )
 
@@ -57,15 +58,15 @@
 		return runner.ExitRefused
 	}
 	registry := runner.NewRegistry()
-	client := connector.NewHTTPClient(s.CallTimeout)
+	client := connector.NewHTTPClient(s.CallTimeout, meter.New(registry, "platform"))
 	a := agent.New(s.agent(), agent.Dependencies{
 		Platform: agent.Platform{
 			Log:      connector.NewLog(client, s.LogURL),
 			Fleet:    connector.NewFleet(client, s.FleetURL),
 			Workers:  connector.NewWorkers(client),
-			Endpoint: connector.NewEndpoint(connector.NewHTTPClient(0), s.EndpointURL),
+			Endpoint: connector.NewEndpoint(connector.NewHTTPClient(0, meter.New(registry, "endpoint")), s.EndpointURL),
 		},
-		Listener: listener,
+		Listener: meter.New(registry, "sessions").Listener(listener),
 		Logger:   logger,
 		Registry: registry,
 	})
--- a/cmd/pvalve-entry/main.go
+++ b/cmd/pvalve-entry/main.go
@@ -17,6 +17,7 @@
 	"persimmonvalve/entry"
 	"persimmonvalve/internal/apigen"
 	"persimmonvalve/internal/logfield"
+	"persimmonvalve/internal/meter"
 	"persimmonvalve/messenger"
 	"persimmonvalve/runner"
 )
@@ -61,11 +62,11 @@
 		return runner.ExitRefused
 	}
 	registry := runner.NewRegistry()
-	client := connector.NewHTTPClient(s.CallTimeout)
+	client := connector.NewHTTPClient(s.CallTimeout, meter.New(registry, "platform"))
 	e := entry.New(s.entry(), entry.Dependencies{
 		Log:      connector.NewLog(client, s.LogURL),
 		Fleet:    connector.NewFleet(client, s.FleetURL),
-		Client:   messenger.NewClient(),
+		Client:   messenger.NewClient(meter.New(registry, "sessions")),
 		Logger:   logger,
 		Registry: registry,
 		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/connector/http.go
+++ b/connector/http.go
@@ -9,23 +9,33 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	pv "persimmonvalve"
+	"persimmonvalve/internal/meter"
 )
 
 // Error is the class of this package's errors.
 var Error = errs.Class("platform")
 
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 2 * time.Second
+
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 32 << 20
 
-// NewHTTPClient returns a client whose calls are bounded by the timeout.
-func NewHTTPClient(timeout time.Duration) *http.Client {
+// NewHTTPClient returns a client whose calls are bounded by the timeout and
+// counted by the meter, which may be nil.
+func NewHTTPClient(timeout time.Duration, m *meter.Meter) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return m.Dial(ctx, dialer, address)
+	}
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 64
 	return &http.Client{Timeout: timeout, Transport: transport}
--- a/demonstrator/site.go
+++ b/demonstrator/site.go
@@ -159,12 +159,12 @@
 const platformTimeout = 2 * time.Second
 
 func (s *Site) platform(endpointURL string) agent.Platform {
-	client := connector.NewHTTPClient(platformTimeout)
+	client := connector.NewHTTPClient(platformTimeout, nil)
 	return agent.Platform{
 		Log:      connector.NewLog(client, s.LogURL),
 		Fleet:    connector.NewFleet(client, s.FleetURL),
 		Workers:  connector.NewWorkers(client),
-		Endpoint: connector.NewEndpoint(connector.NewHTTPClient(0), endpointURL),
+		Endpoint: connector.NewEndpoint(connector.NewHTTPClient(0, nil), endpointURL),
 	}
 }
 
@@ -237,11 +237,11 @@
 	settings.FleetPoll = time.Second
 	settings.StatusEvery = 200 * time.Millisecond
 	settings.AccountsEvery = time.Second
-	client := connector.NewHTTPClient(platformTimeout)
+	client := connector.NewHTTPClient(platformTimeout, nil)
 	g := &Gate{URL: "http://" + addressOf(l).String()}
 	g.Entry = entry.New(settings, entry.Dependencies{
 		Log: connector.NewLog(client, s.LogURL), Fleet: connector.NewFleet(client, s.FleetURL),
-		Client: messenger.NewClient(), Logger: s.Options.Logger, Registry: prometheus.NewRegistry(),
+		Client: messenger.NewClient(nil), Logger: s.Options.Logger, Registry: prometheus.NewRegistry(),
 		Random: rand.New(rand.NewPCG(1, uint64(i))),
 	})
 	api, err := apigen.NewServer(g.Entry)
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -23,8 +23,9 @@
 // askAll asks the agents whose endpoints or streams this entry uses.
 func (e *Entry) askAll(now time.Time) {
 	hints := e.hints(now)
-	for address, name := range e.wanted() {
-		if e.asking[name] || now.Sub(e.asked[name]) < e.settings.StatusEvery {
+	for address, peer := range e.wanted() {
+		name := peer.name
+		if e.asking[name] || now.Sub(e.asked[name]) < peer.every {
 			continue
 		}
 		e.asking[name] = true
@@ -66,19 +67,27 @@
 	return hints
 }
 
-// wanted returns the agents that this entry has sessions with.
-func (e *Entry) wanted() map[netip.AddrPort]string {
-	wanted := map[netip.AddrPort]string{}
+// peer is an agent that this entry has a session with.
+type peer struct {
+	name  string
+	every time.Duration // between status calls
+}
+
+// wanted returns the agents that this entry has sessions with. Routing needs
+// fresh counts of its endpoints; the state of streams may lag.
+func (e *Entry) wanted() map[netip.AddrPort]peer {
+	wanted := map[netip.AddrPort]peer{}
 	for _, ep := range e.routing.Endpoints() {
-		wanted[ep.Member.Address] = ep.Member.Name
+		wanted[ep.Member.Address] = peer{ep.Member.Name, e.settings.StatusEvery}
 	}
 	for _, stream := range e.allStreams() {
 		h, ok := e.members.Holder(stream)
 		if !ok {
 			continue
 		}
-		if address, err := netip.ParseAddrPort(h.Address); err == nil {
-			wanted[address] = h.Member
+		address, err := netip.ParseAddrPort(h.Address)
+		if _, known := wanted[address]; err == nil && !known {
+			wanted[address] = peer{h.Member, e.settings.HolderEvery}
 		}
 	}
 	return wanted
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -28,7 +28,8 @@
 	ConfigPoll    time.Duration
 	MemberPoll    time.Duration
 	FleetPoll     time.Duration
-	StatusEvery   time.Duration // between status calls to an agent
+	StatusEvery   time.Duration // between status calls to an endpoint's agent
+	HolderEvery   time.Duration // between status calls to an agent that only holds streams
 	AccountsEvery time.Duration // between records of the account
 	Announce      time.Duration // between announcements
 	Checkpoint    time.Duration // between configuration checkpoints of all entries
@@ -46,7 +47,8 @@
 		ConfigPoll:    time.Second,
 		MemberPoll:    time.Second,
 		FleetPoll:     time.Minute,
-		StatusEvery:   500 * time.Millisecond,
+		StatusEvery:   time.Second,
+		HolderEvery:   3 * time.Second,
 		AccountsEvery: 5 * time.Second,
 		Announce:      5 * time.Minute,
 		Checkpoint:    5 * time.Minute,
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -136,7 +136,7 @@
 }
 
 // cellSilence is how old a cell's summary may be to count as live.
-const cellSilence = 5 * time.Second
+const cellSilence = 8 * time.Second
 
 // chooseCell draws two of the plan's live cells and takes the one with less
 // waiting, so that entries with the same lagging summaries don't all choose
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -9,11 +9,11 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
+	"persimmonvalve/internal/meter"
 	"persimmonvalve/internal/wire"
 )
 
@@ -22,8 +22,6 @@
 	dial     func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	mu       sync.Mutex
 	sessions map[netip.AddrPort]*session
-	sent     atomic.Int64
-	received atomic.Int64
 }
 
 type session struct {
@@ -34,11 +32,11 @@
 // dialTimeout bounds the opening of a session.
 const dialTimeout = 2 * time.Second
 
-// NewClient returns a client over TCP.
-func NewClient() *Client {
+// NewClient returns a client over TCP, counted by the meter, which may be nil.
+func NewClient(m *meter.Meter) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return NewClientWith(func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address.String())
+		return m.Dial(ctx, dialer, address.String())
 	})
 }
 
@@ -57,19 +55,16 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
-	if err := Write(&counter{w: stream, n: &c.sent}, f); err != nil {
+	if err := Write(stream, f); err != nil {
 		return nil, true, err
 	}
 	reply = &wire.Frame{}
-	if err := Read(&counter{r: stream, n: &c.received}, reply); err != nil {
+	if err := Read(stream, reply); err != nil {
 		return nil, true, err
 	}
 	return reply, true, nil
 }
 
-// Bytes returns how many bytes of frames were sent and received.
-func (c *Client) Bytes() (sent, received int64) { return c.sent.Load(), c.received.Load() }
-
 func (c *Client) open(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	s := c.session(address)
 	s.mu.Lock()
@@ -150,22 +145,3 @@
 	config.LogOutput = io.Discard // a broken session shows in the calls' errors
 	return config
 }
-
-// counter counts the bytes that pass.
-type counter struct {
-	w io.Writer
-	r io.Reader
-	n *atomic.Int64
-}
-
-func (c *counter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
-func (c *counter) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
--- a/router/router.go
+++ b/router/router.go
@@ -42,7 +42,7 @@
 		EjectFor:     500 * time.Millisecond,
 		EjectUpTo:    30 * time.Second,
 		SlowFactor:   4,
-		Silence:      2 * time.Second,
+		Silence:      3 * time.Second,
 		LinkBytesPer: 1e6,
 		LinkBurst:    1e6,
 	}
