Survive lists on which the YAML library panics

Cause: FuzzLists found a text (a tag in place of a sequence) on which the library dereferences nil; such a change in the log would have ended every process that followed the configuration.

--- /dev/null
+++ b/announcer/fuzz_test.go
@@ -0,0 +1,94 @@
+package announcer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/fuzz"
+)
+
+func TestMain(m *testing.M) {
+	fuzz.Fix()
+	m.Run()
+}
+
+// A table read in any pieces, with any re-reading, is the same; a member that
+// has left never comes back; a lower term never replaces a higher one.
+func TestTableUnderLateCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		whole, pieces := NewTable(time.Hour), NewTable(time.Hour)
+		left := map[pv.Incarnation]bool{}
+		highest := map[pv.StreamName]pv.Term{}
+		var records [][]byte
+		add := func(r Record) {
+			data, err := Encode(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			records = append(records, data)
+		}
+		incarnation := func() pv.Member {
+			n, life := rapid.IntRange(0, 3).Draw(t, "name"), rapid.IntRange(0, 2).Draw(t, "life")
+			return pv.Member{Name: fmt.Sprint(n), Role: pv.RoleAgent, Incarnation: pv.Incarnation(fmt.Sprintf("%d.%d", n, life))}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(*rapid.T) {
+				m := incarnation()
+				add(Record{Announce: &m})
+			},
+			"leave": func(*rapid.T) {
+				m := incarnation()
+				left[m.Incarnation] = true
+				add(Record{Leave: &Leave{Name: m.Name, Incarnation: m.Incarnation}})
+			},
+			"hold": func(t *rapid.T) {
+				h := Hold{Stream: "cell/a/0", Term: pv.Term(rapid.IntRange(1, 9).Draw(t, "term"))}
+				highest[h.Stream] = max(highest[h.Stream], h.Term)
+				add(Record{Hold: &h})
+			},
+			"copy": func(t *rapid.T) {
+				if len(records) > 0 {
+					records = append(records, records[rapid.IntRange(0, len(records)-1).Draw(t, "record")])
+				}
+			},
+			"read again": func(t *rapid.T) {
+				from := rapid.IntRange(0, int(pieces.Next())).Draw(t, "from")
+				pieces.Feed(now, pv.Batch{First: pv.Offset(from), Records: records[from:], Next: pv.Offset(len(records))})
+			},
+			"": func(t *rapid.T) {
+				whole.Feed(now, pv.Batch{First: whole.Next(), Records: records[whole.Next():], Next: pv.Offset(len(records))})
+				for _, m := range whole.Members("") {
+					if left[m.Incarnation] {
+						t.Fatalf("%s has left and is a member", m.Incarnation)
+					}
+				}
+				if h, ok := whole.Holder("cell/a/0"); ok && h.Term != highest[h.Stream] {
+					t.Fatalf("holder: got term %d, want %d", h.Term, highest[h.Stream])
+				}
+			},
+		})
+		pieces.Feed(now, pv.Batch{First: pieces.Next(), Records: records[pieces.Next():], Next: pv.Offset(len(records))})
+		if got, want := fmt.Sprint(pieces.Members("")), fmt.Sprint(whole.Members("")); got != want {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+	})
+}
+
+func TestSilentMemberExpires(t *testing.T) {
+	table := NewTable(time.Minute)
+	now := time.Unix(1000, 0)
+	data, err := Encode(Record{Announce: &pv.Member{Name: "a", Incarnation: "1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Feed(now, pv.Batch{Records: [][]byte{data}, Next: 1})
+	table.Feed(now.Add(2*time.Minute), pv.Batch{First: 1, Next: 1})
+	if got, want := len(table.Members("")), 0; got != want {
+		t.Errorf("members: got %d, want %d", got, want)
+	}
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -73,8 +73,15 @@
 	return allowances, checkAllowances(doc, allowances)
 }
 
-// decode reads text strictly into raw.
-func decode(text []byte, raw any) (document, []Fault) {
+// decode reads text strictly into raw. The YAML library panics on some texts;
+// one that came into the log would end every process that reads it, so a panic
+// is a fault of the list like any other.
+func decode(text []byte, raw any) (doc document, faults []Fault) {
+	defer func() {
+		if p := recover(); p != nil {
+			doc, faults = document{}, []Fault{{Line: 1, Column: 1, Text: fmt.Sprintf("the list can't be read: %v", p)}}
+		}
+	}()
 	if len(text) > MaxListBytes {
 		return document{}, []Fault{{Text: fmt.Sprintf("the list has %d bytes, at most %d are allowed", len(text), MaxListBytes)}}
 	}
