--- a/demonstrator/memory_test.go
+++ b/demonstrator/memory_test.go
@@ -150,6 +150,7 @@
 	agents  []*agent.Agent
 	entries []*entry.Entry
 	started int
+	tune    func(*agent.Settings) // of agents started from now on; may be nil
 }
 
 const memorySlots = 2
@@ -192,6 +193,9 @@
 	settings.Slots = memorySlots
 	settings.Connections = 2 * memorySlots
 	settings.Tick = 50 * time.Millisecond
+	if s.tune != nil {
+		s.tune(&settings)
+	}
 	return agent.New(settings, agent.Dependencies{
 		Platform: agent.Platform{Log: log, Fleet: s.workers, Workers: s.workers, Endpoint: s.backend},
 		Listener: l, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -31,6 +31,7 @@
 	logDelay       = 5 * time.Millisecond // one way
 	workerDelay    = time.Millisecond
 	tickEvery      = 100 * time.Millisecond
+	populateAfter  = 10 * time.Second // the cell is held by then
 	advanceEvery   = 500 * time.Millisecond
 	quickPerSecond = 150.0
 	heavyPerSecond = 0.14
@@ -175,7 +176,7 @@
 	w.every(tickEvery, w.tick)
 	w.every(advanceEvery, w.advance)
 	w.every(time.Second, w.sample)
-	w.after(time.Second, w.populate)
+	w.after(populateAfter, w.populate)
 	w.arrivals(func() float64 { return quickPerSecond }, func() { w.arrive(planService) })
 	for _, a := range w.scenario.at {
 		w.after(warmUp+a.at, func() { a.do(w) })
