Replace left processes in the cell's model

Cause: all three instances were leaving, each superseded, and none was started again: the model ended with nobody to hold the cell. The trace shows all three as left; a platform replaces them. Ruled out: retention (every reader was ready). Change: settling starts a new process for each that has left. Measured: failed, passes now.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -352,13 +352,11 @@
 		in.paused = false
 		in.cutLog = false
 		in.cutFrom = map[int]bool{}
-		if in.holder.Left() {
-			m.boot(in)
-		}
 	}
 	const step = 100 * time.Millisecond
 	for range int((modelAuthority + 300*time.Second) / step) {
 		m.now = m.now.Add(step)
+		m.replaceLeft()
 		m.round()
 		m.check()
 		if m.allEnded() {
@@ -368,6 +366,17 @@
 	m.t.Fatalf("not all tasks ended: %s", m.describe())
 }
 
+// replaceLeft starts a new process in place of each that has left, as the
+// platform does. An instance may learn only now that it was superseded while
+// it was leaving: a trace showed all three of them waiting to be replaced.
+func (m *model) replaceLeft() {
+	for _, in := range m.instances {
+		if in.holder.Left() {
+			m.boot(in)
+		}
+	}
+}
+
 func (m *model) round() {
 	for _, in := range m.instances {
 		m.run(in)
@@ -414,7 +423,13 @@
 			return string(data)
 		}
 	}
-	return "no holder"
+	text := "no holder;"
+	for _, in := range m.instances {
+		l := in.holder.Ledger()
+		text += fmt.Sprintf(" %s ready=%v next=%d term=%d closed=%v left=%v;", in.name, l.Ready(), l.Next(), l.Term, l.Closed, in.holder.Left())
+	}
+	b, _ := m.log.Read(context.Background(), modelCell, 0, 1)
+	return fmt.Sprintf("%s horizon=%d", text, b.Horizon)
 }
 
 // actions returns the fuzzer's steps. Common steps stand several times, so
