Hand over a term that a leaving process wins by a late claim

Cause: the hand-over was queued when a process began to leave; a claim that was delayed could win a term afterwards, and the process then held it without working or leaving. Found by the cell's fuzzing, after 1491 checks. Ruled out: the lease of the restarted worker (met, fresh, leased in the trace). Change: a leaving holder queues the hand-over of each term that it finds itself holding.

--- a/holder/core.go
+++ b/holder/core.go
@@ -93,9 +93,10 @@
 	flight []proposal
 	seq    int64
 
-	rank      int  // place among the candidates, 0 first
-	candidate bool // may claim
-	leaving   bool
+	rank       int  // place among the candidates, 0 first
+	candidate  bool // may claim
+	leaving    bool
+	handedOver pv.Term // last term whose hand-over was queued
 
 	busy       bool      // a job is out
 	atEnd      bool      // the last read reached the end of the stream
@@ -176,13 +177,19 @@
 	return c.claimAt, c.closedBy
 }
 
-// Leave makes the core propose a hand-over; it claims no more.
+// Leave makes the core hand its term over; it claims no more.
 func (c *Core) Leave() {
 	if c.leaving {
 		return
 	}
 	c.leaving = true
-	if c.ledger.HeldBy(c.settings.Me) {
+}
+
+// handOver queues the hand-over of a leaving holder, once for each term: a
+// claim that was delayed may still win a term after the process began to leave.
+func (c *Core) handOver() {
+	if c.leaving && c.handedOver != c.ledger.Term {
+		c.handedOver = c.ledger.Term
 		c.queue = append(c.queue, proposal{record: recorder.Record{HandOver: &recorder.HandOver{}}})
 	}
 }
@@ -238,6 +245,7 @@
 	if !c.ledger.HeldBy(c.settings.Me) {
 		return c.claimBatch(now)
 	}
+	c.handOver()
 	c.addUpkeep(now)
 	if len(c.queue) == 0 || !c.limiter.AllowN(now, 1) {
 		return nil
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -363,7 +363,26 @@
 			return
 		}
 	}
-	m.t.Fatalf("not all tasks ended: %s", m.describe())
+	m.t.Fatalf("not all tasks ended: %s", m.describe()+m.views())
+}
+
+// views returns what the holder knows of its workers beside what they are.
+func (m *model) views() string {
+	text := ""
+	for _, in := range m.instances {
+		if in.scheduler == nil || !in.holder.Holding(m.now) {
+			continue
+		}
+		for _, id := range in.scheduler.order {
+			w := in.scheduler.workers[id]
+			text += fmt.Sprintf("\n%s %s epoch=%d met=%v fresh=%v lapsed=%v lapsedAt=%s until=%s unanswered=%v call=%d pending=%v",
+				in.name, id, w.epoch, w.met, w.fresh, w.lapsed, w.lapsedAt.Sub(m.now), w.until, w.unanswered, w.leaseCall, in.scheduler.pending)
+		}
+	}
+	for _, w := range m.workers {
+		text += fmt.Sprintf("\n%+v", w.Report(m.now))
+	}
+	return text
 }
 
 // replaceLeft starts a new process in place of each that has left, as the
