--- a/cmd/pvalve-agent/main.go
+++ b/cmd/pvalve-agent/main.go
@@ -37,14 +37,7 @@
 // Version implements the library's version flag.
 func (settings) Version() string { return "pvalve-agent " + runner.Version }
 
-func main() {
-	var s settings
-	code, ok := runner.Parse("pvalve-agent", &s, runner.Arguments(), os.Stdout, os.Stderr)
-	if ok {
-		code = run(s)
-	}
-	os.Exit(code)
-}
+func main() { runner.Main("pvalve-agent", run) }
 
 func run(s settings) int {
 	logger, err := runner.NewLogger(s.Common)
--- a/cmd/pvalve-standin/main.go
+++ b/cmd/pvalve-standin/main.go
@@ -35,14 +35,7 @@
 // Version implements the library's version flag.
 func (settings) Version() string { return "pvalve-standin " + runner.Version }
 
-func main() {
-	var s settings
-	code, ok := runner.Parse("pvalve-standin", &s, runner.Arguments(), os.Stdout, os.Stderr)
-	if ok {
-		code = run(s)
-	}
-	os.Exit(code)
-}
+func main() { runner.Main("pvalve-standin", run) }
 
 func run(s settings) int {
 	switch {
--- a/cmd/pvalvectl/main.go
+++ b/cmd/pvalvectl/main.go
@@ -48,14 +48,7 @@
 	return "Exit status: 0 done, 1 refused or failed (not run), 2 usage, 3 unknown outcome."
 }
 
-func main() {
-	var s settings
-	code, ok := runner.Parse("pvalvectl", &s, runner.Arguments(), os.Stdout, os.Stderr)
-	if ok {
-		code = run(s)
-	}
-	os.Exit(code)
-}
+func main() { runner.Main("pvalvectl", run) }
 
 func run(s settings) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/demonstrator/site.go
+++ b/demonstrator/site.go
@@ -77,7 +77,9 @@
 	Entry *entry.Entry
 	URL   string
 	API   *apigen.Client
-	http  *runner.HTTPServer
+	// Registry has the entry's counters.
+	Registry *prometheus.Registry
+	http     *runner.HTTPServer
 }
 
 // Site is a whole site.
@@ -238,10 +240,10 @@
 	settings.StatusEvery = 200 * time.Millisecond
 	settings.AccountsEvery = time.Second
 	client := connector.NewHTTPClient(platformTimeout, nil)
-	g := &Gate{URL: "http://" + addressOf(l).String()}
+	g := &Gate{URL: "http://" + addressOf(l).String(), Registry: prometheus.NewRegistry()}
 	g.Entry = entry.New(settings, entry.Dependencies{
 		Log: connector.NewLog(client, s.LogURL), Fleet: connector.NewFleet(client, s.FleetURL),
-		Client: messenger.NewClient(nil), Logger: s.Options.Logger, Registry: prometheus.NewRegistry(),
+		Client: messenger.NewClient(nil), Logger: s.Options.Logger, Registry: g.Registry,
 		Random: rand.New(rand.NewPCG(1, uint64(i))),
 	})
 	api, err := apigen.NewServer(g.Entry)
--- a/entry/leave_test.go
+++ b/entry/leave_test.go
@@ -59,6 +59,11 @@
 }
 
 func newSite(t *testing.T) (*demonstrator.Site, context.Context) {
+	t.Helper()
+	return newSiteWith(t, allowances, plans)
+}
+
+func newSiteWith(t *testing.T, allowances, plans string) (*demonstrator.Site, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -126,5 +126,13 @@
 	return ok && a.IsValid()
 }
 
-// Arguments returns the program's own arguments.
-func Arguments() []string { return os.Args[1:] }
+// Main reads the settings, runs the program, and ends the process with its
+// exit code.
+func Main[S any](program string, run func(S) int) {
+	var settings S
+	code, ok := Parse(program, &settings, os.Args[1:], os.Stdout, os.Stderr)
+	if ok {
+		code = run(settings)
+	}
+	os.Exit(code)
+}
--- /dev/null
+++ b/runner/settings_test.go
@@ -0,0 +1,48 @@
+package runner
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+type sample struct {
+	Common
+	Process
+	Site
+}
+
+func (sample) Version() string { return "sample " + Version }
+
+// All faults of the settings are reported at once, and nothing starts.
+func TestEveryFaultAtOnce(t *testing.T) {
+	var s sample
+	var out, errOut bytes.Buffer
+	code, ok := Parse("sample", &s, []string{"--log-level", "loud", "--homes", "0", "--log-url", "nowhere"}, &out, &errOut)
+	if ok || code != ExitUsage {
+		t.Fatalf("got ok=%v code %d, want false and %d", ok, code, ExitUsage)
+	}
+	for _, field := range []string{"LogLevel", "Homes", "LogURL", "FleetURL", "Name", "Zone"} {
+		if !strings.Contains(errOut.String(), field) {
+			t.Errorf("got no word of %s in %q, want one", field, errOut.String())
+		}
+	}
+}
+
+func TestUnknownFlag(t *testing.T) {
+	var s sample
+	var out, errOut bytes.Buffer
+	if code, ok := Parse("sample", &s, []string{"--colour"}, &out, &errOut); ok || code != ExitUsage {
+		t.Errorf("got ok=%v code %d, want false and %d", ok, code, ExitUsage)
+	}
+}
+
+func TestHelpAndVersion(t *testing.T) {
+	for _, flag := range []string{"--help", "--version"} {
+		var s sample
+		var out, errOut bytes.Buffer
+		if code, ok := Parse("sample", &s, []string{flag}, &out, &errOut); ok || code != ExitDone || out.Len() == 0 && flag == "--help" {
+			t.Errorf("%s: got ok=%v code %d %q, want false, %d and text", flag, ok, code, out.String(), ExitDone)
+		}
+	}
+}
