Keep the declaration out of the measured deviation

Cause: after 300 reports of a tenth of the declaration a reservation was still double the use: the declaration took part in the deviation, which fades slowly. Change: the estimate comes from reports alone and is blended with the declaration, which counts for two of them.

--- a/placer/learner.go
+++ b/placer/learner.go
@@ -28,10 +28,12 @@
 
 // average is a mean and variance whose old observations fade.
 type average struct {
+	seen                   float64 // observations in all
 	weight, mean, variance float64
 }
 
 func (a *average) add(x float64) {
+	a.seen++
 	a.weight = min(a.weight+1, memoryOf)
 	step := 1 / a.weight
 	delta := x - a.mean
@@ -43,15 +45,18 @@
 	return a.mean + spread*math.Sqrt(a.variance)
 }
 
+// ratio blends what was seen with the declaration, which is 1. The declaration
+// takes no part in the deviation: that would stay in it long after.
+func (a *average) ratio() float64 {
+	return (priorWeight + a.seen*a.high()) / (priorWeight + a.seen)
+}
+
 // usage is what a kind uses in proportion to what it declares.
 type usage struct {
 	cores, memory average
 }
 
-func newUsage() *usage {
-	prior := average{weight: priorWeight, mean: 1}
-	return &usage{cores: prior, memory: prior}
-}
+func newUsage() *usage { return &usage{} }
 
 func (u *usage) add(declared, used pv.Resources) {
 	if declared.MilliCores > 0 {
@@ -73,8 +78,8 @@
 
 func (u *usage) reserve(declared pv.Resources) pv.Resources {
 	r := declared
-	r.MilliCores = scaled(declared.MilliCores, u.cores.high())
-	r.MemoryMB = scaled(declared.MemoryMB, u.memory.high())
+	r.MilliCores = scaled(declared.MilliCores, u.cores.ratio())
+	r.MemoryMB = scaled(declared.MemoryMB, u.memory.ratio())
 	return r
 }
 
