The fakes' remaining faults: a worker's lag, a leaving endpoint

Change: a worker measures use only each lag; an endpoint that leaves closes the connection unread; tests of what the design assumes of a worker.

--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -16,6 +16,7 @@
 	Delay   time.Duration `json:"delay"`   // before each answer
 	Fail    bool          `json:"fail"`    // answers 500 after running
 	Partial bool          `json:"partial"` // breaks off in the middle of the answer
+	Leaving bool          `json:"leaving"` // takes no new request: the connection closes before it is read
 }
 
 // Endpoint is a fake endpoint, safe for concurrent use.
@@ -63,6 +64,12 @@
 	return e.faults
 }
 
+func (e *Endpoint) leaves() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Leaving
+}
+
 func (e *Endpoint) leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -73,6 +80,9 @@
 func EndpointHandler(e *Endpoint) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /{service}", func(w http.ResponseWriter, r *http.Request) {
+		if e.leaves() {
+			panic(http.ErrAbortHandler)
+		}
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/http.go
+++ b/standin/http.go
@@ -93,9 +93,10 @@
 
 // WorkerFaults are the faults of one fake worker.
 type WorkerFaults struct {
-	Crash   bool `json:"crash"`   // it comes back empty
-	Down    bool `json:"down"`    // it can't be reached, and so lapses
-	FailAll bool `json:"failAll"` // every task fails
+	Crash   bool          `json:"crash"`   // it comes back empty
+	Down    bool          `json:"down"`    // it can't be reached, and so lapses
+	FailAll bool          `json:"failAll"` // every task fails
+	Lag     time.Duration `json:"lag"`     // between measurements of use and slowdown
 }
 
 // SetFaults sets the faults of a worker.
@@ -107,6 +108,7 @@
 		return fmt.Errorf("no worker %q", id)
 	}
 	w.FailAll = f.FailAll
+	w.Lag = f.Lag
 	ws.down[id] = f.Down
 	if f.Crash {
 		w.Restart(time.Now())
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -45,16 +45,18 @@
 
 type run struct {
 	pv.Run
-	spec     pv.TaskSpec
-	throttle float64
+	spec       pv.TaskSpec
+	throttle   float64
+	measuredAt time.Time
 }
 
 // WorkerCore is a fake worker's state. It isn't safe for concurrent use.
 type WorkerCore struct {
 	Info            pv.WorkerInfo
 	CheckpointEvery time.Duration
-	FailAll         bool    // every task fails soon after its start
-	Rate            float64 // of its clock against real time
+	FailAll         bool          // every task fails soon after its start
+	Rate            float64       // of its clock against real time
+	Lag             time.Duration // between measurements of use and slowdown
 
 	truth       Truth
 	incarnation pv.Incarnation
@@ -127,10 +129,14 @@
 }
 
 func (w *WorkerCore) progressRun(now time.Time, r *run, elapsed time.Duration) {
-	r.Slowdown = w.slowdown(now, r)
-	r.Used = w.truth.Use(r.spec)
-	r.Used.MilliCores = int64(float64(r.Used.MilliCores) * r.throttle)
-	done := time.Duration(float64(elapsed) * r.throttle / r.Slowdown)
+	slowdown := w.slowdown(now, r)
+	if now.Sub(r.measuredAt) >= w.Lag {
+		r.measuredAt = now
+		r.Slowdown = slowdown
+		r.Used = w.truth.Use(r.spec)
+		r.Used.MilliCores = int64(float64(r.Used.MilliCores) * r.throttle)
+	}
+	done := time.Duration(float64(elapsed) * r.throttle / slowdown)
 	r.Progress += done
 	w.Worked += done
 	total := w.truth.RunTime(r.spec)
