--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -51,7 +51,7 @@
 	if got := w.Report(now.Add(3 * time.Second)).Runs[0].Used; got != first {
 		t.Errorf("within the lag: got %v, want %v as before", got, first)
 	}
-	if got, want := w.Report(now.Add(7*time.Second)).Runs[0].Used.MilliCores, int64(500); got != want {
+	if got, want := w.Report(now.Add(7 * time.Second)).Runs[0].Used.MilliCores, int64(500); got != want {
 		t.Errorf("after the lag: got %d, want %d", got, want)
 	}
 }
