--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -6,6 +6,7 @@
 // need.
 
 import (
+	"slices"
 	"time"
 
 	pv "persimmonvalve"
@@ -187,11 +188,16 @@
 }
 
 func (c *Core) expireCalls(now time.Time) {
+	var expired []int64
 	for id, call := range c.calls {
 		if now.Sub(call.SentAt) >= c.settings.CallTimeout {
-			c.Answer(now, CallResult{ID: id, Err: pv.ErrUnavailable})
+			expired = append(expired, id)
 		}
 	}
+	slices.Sort(expired)
+	for _, id := range expired {
+		c.Answer(now, CallResult{ID: id, Err: pv.ErrUnavailable})
+	}
 }
 
 // Answer takes in the answer to a call; late and duplicate answers are ignored.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -157,7 +157,9 @@
 func (w *WorkerCore) slowdown(now time.Time, r *run) float64 {
 	factor := 1.0
 	var cores float64
-	for _, o := range w.runs {
+	// In a fixed order: sums of fractions differ in their last digit by it, and
+	// decisions with them.
+	for _, o := range w.sorted() {
 		if o.State != pv.RunRunning {
 			continue
 		}
