The thin path on the users' platform: planner, leader, supervisor, gateway, platform

Cause: nothing spoke the platform's protocol. The cells of the first design were made for a log without conditions; here the store fences writers, keeps the newest record of each key and deals groups, so one planner on whichever gateway the group has chosen decides for the site, with one record per job.

Before: no call was answered.

Next: where the leader stands, the order of heavy work, fillers and their pace.

--- a/cmd/pvalve-agent/main.go
+++ b/cmd/pvalve-agent/main.go
@@ -68,7 +68,7 @@
 		logger.Error("agent: admin address can't be served", logfield.Error(err))
 		return runner.ExitRefused
 	}
-	runner.Wait()
+	runner.Wait(logger)
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
 	code := runner.ExitDone
--- a/cmd/pvalve-entry/main.go
+++ b/cmd/pvalve-entry/main.go
@@ -76,7 +76,7 @@
 	}
 	server := runner.ServeHTTP(listener, api, logger)
 	logger.Info("entry: serves callers", zap.Stringer("address", listener.Addr()))
-	runner.Wait()
+	runner.Wait(logger)
 	ctx, cancel := context.WithTimeout(context.Background(), runner.StopTimeout)
 	defer cancel()
 	e.Drain()
--- a/cmd/pvalve-standin/serve.go
+++ b/cmd/pvalve-standin/serve.go
@@ -57,7 +57,7 @@
 		logger.Info("standin: serves", zap.Stringer("address", l.Addr()))
 		stops = append(stops, runner.ServeHTTP(l, handler, logger).Stop)
 	}
-	runner.Wait()
+	runner.Wait(logger)
 	ctx, cancel := context.WithTimeout(context.Background(), runner.StopTimeout)
 	defer cancel()
 	for _, stop := range stops {
--- /dev/null
+++ b/leader/claim.go
@@ -0,0 +1,143 @@
+package leader
+
+// This file defines how a candidate becomes the leader.
+//
+// The epoch is one more than the last one in the leader topic, taken by an
+// append that succeeds only at the end of the topic as it was read. No two
+// terms share an epoch. The first append to the jobs topic under the new epoch
+// makes the store refuse all lower ones, so what is read after it is final.
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	pv "persimmonvalve"
+)
+
+type leaderRecord struct {
+	Epoch int64  `json:"epoch"`
+	Node  string `json:"node"`
+	Boot  string `json:"boot"`
+}
+
+const (
+	leaderKey     = "leader"
+	termKey       = "term"
+	firstSequence = 1 // of a term's appends
+	claimTimeout  = 2 * time.Second
+	claimPause    = 100 * time.Millisecond // between tries while the store doesn't answer
+)
+
+// claim returns a new epoch and the jobs' records.
+func claim(ctx context.Context, store pv.Store, node, boot string) (int64, []pv.KeyedRecord, error) {
+	epoch, err := claimEpoch(ctx, store, node, boot)
+	if err != nil {
+		return 0, nil, err
+	}
+	for {
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		verdict, _, err := store.Append(call, jobsTopic, pv.Writer{Name: writerName, Epoch: epoch, Sequence: firstSequence}, pv.AtAnyOffset, termRecord(epoch))
+		cancel()
+		if verdict == pv.AppendDone {
+			break
+		}
+		if verdict == pv.AppendSuperseded {
+			return 0, nil, Error.New("epoch %d is superseded", epoch)
+		}
+		if err := pause(ctx, err); err != nil {
+			return 0, nil, err
+		}
+	}
+	records, err := readAll(ctx, store, jobsTopic)
+	return epoch, records, err
+}
+
+// termRecord is what an append holds that only proves the term.
+func termRecord(epoch int64) []pv.KeyedRecord {
+	value, err := json.Marshal(leaderRecord{Epoch: epoch})
+	if err != nil {
+		panic(Error.Wrap(err)) // a number can always be encoded
+	}
+	return []pv.KeyedRecord{{Key: termKey, Value: value}}
+}
+
+func claimEpoch(ctx context.Context, store pv.Store, node, boot string) (int64, error) {
+	unanswered := int64(0) // epoch of an append whose answer was lost
+	for {
+		page, err := newest(ctx, store, leaderTopic, "")
+		if err != nil {
+			return 0, err
+		}
+		last := leaderRecord{}
+		for _, r := range page.Records {
+			if r.Key != leaderKey {
+				continue
+			}
+			if err := json.Unmarshal(r.Value, &last); err != nil {
+				return 0, Error.New("leader record can't be read: %w", err)
+			}
+		}
+		if unanswered > 0 && last == (leaderRecord{Epoch: unanswered, Node: node, Boot: boot}) {
+			return last.Epoch, nil // it took effect
+		}
+		mine := leaderRecord{Epoch: last.Epoch + 1, Node: node, Boot: boot}
+		value, err := json.Marshal(mine)
+		if err != nil {
+			return 0, Error.Wrap(err)
+		}
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		verdict, _, err := store.Append(call, leaderTopic, pv.Writer{}, page.End, []pv.KeyedRecord{{Key: leaderKey, Value: value}})
+		cancel()
+		switch verdict {
+		case pv.AppendDone:
+			return mine.Epoch, nil
+		case pv.AppendUnknown:
+			unanswered = mine.Epoch
+		}
+		if err := pause(ctx, err); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// pause waits before another try; the store's error is the reason to.
+func pause(ctx context.Context, _ error) error {
+	select {
+	case <-time.After(claimPause):
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+func newest(ctx context.Context, store pv.Store, topic pv.Topic, after string) (pv.KeyedPage, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		page, err := store.Newest(call, topic, after)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		if err := pause(ctx, err); err != nil {
+			return pv.KeyedPage{}, err
+		}
+	}
+}
+
+// readAll returns the newest record of every key of a topic.
+func readAll(ctx context.Context, store pv.Store, topic pv.Topic) ([]pv.KeyedRecord, error) {
+	var out []pv.KeyedRecord
+	after := ""
+	for {
+		page, err := newest(ctx, store, topic, after)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, page.Records...)
+		if !page.More {
+			return out, nil
+		}
+		after = page.Last
+	}
+}
--- /dev/null
+++ b/leader/directory.go
@@ -0,0 +1,121 @@
+package leader
+
+// This file defines the directory of a site's processes: each writes its
+// address into a keyed topic when it starts, and the leader reads it there.
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/logfield"
+)
+
+const (
+	membersTopic    pv.Topic = "keyed.members"
+	announceTimeout          = 2 * time.Second
+	announcePause            = 200 * time.Millisecond // between tries, doubled up to announceSlow
+	announceSlow             = 2 * time.Second
+	tailWait                 = 5 * time.Second // of one read; a silent connection is noticed after it
+	tailSlack                = time.Second     // for the answer to come back
+)
+
+// Directory announces this process and lists the others.
+type Directory struct {
+	store  pv.Store
+	logger *zap.Logger
+}
+
+// NewDirectory starts to announce a process, until the context ends.
+func NewDirectory(ctx context.Context, store pv.Store, self Member, logger *zap.Logger) *Directory {
+	d := &Directory{store: store, logger: logger}
+	go func() {
+		value, err := json.Marshal(self)
+		if err != nil {
+			panic(Error.Wrap(err)) // a member holds nothing that can't be encoded
+		}
+		wait := announcePause
+		for {
+			call, cancel := context.WithTimeout(ctx, announceTimeout)
+			err := store.Put(call, membersTopic, []pv.KeyedRecord{{Key: self.Node, Value: value}})
+			cancel()
+			if err == nil {
+				logger.Info("directory: announced", zap.String("node", self.Node), zap.Stringer("address", self.Address))
+				return
+			}
+			if wait == announcePause {
+				logger.Warn("directory: not announced yet", logfield.Error(err))
+			}
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				return
+			}
+			wait = min(2*wait, announceSlow)
+		}
+	}()
+	return d
+}
+
+// Follow calls changed with all members whenever one changes, until the
+// context ends.
+func (d *Directory) Follow(ctx context.Context, changed func([]Member)) {
+	members := map[string]Member{}
+	publish := func() {
+		out := make([]Member, 0, len(members))
+		for _, m := range members {
+			out = append(out, m)
+		}
+		changed(out)
+	}
+	apply := func(records []pv.KeyedRecord) {
+		for _, r := range records {
+			var m Member
+			if len(r.Value) == 0 {
+				delete(members, r.Key)
+			} else if err := json.Unmarshal(r.Value, &m); err != nil || m.Node != r.Key || !m.Address.IsValid() {
+				d.logger.Warn("directory: record can't be read", zap.String("key", r.Key))
+			} else {
+				members[r.Key] = m
+			}
+		}
+	}
+	for ctx.Err() == nil {
+		from := pv.Offset(-1)
+		clear(members)
+		for after, more := "", true; more; {
+			page, err := newest(ctx, d.store, membersTopic, after)
+			if err != nil {
+				return
+			}
+			if from < 0 {
+				from = page.End
+			}
+			apply(page.Records)
+			after, more = page.Last, page.More
+		}
+		publish()
+		for ctx.Err() == nil {
+			call, cancel := context.WithTimeout(ctx, tailWait+tailSlack)
+			tail, err := d.store.Tail(call, membersTopic, from, tailWait)
+			cancel()
+			if err != nil {
+				if pause(ctx, err) != nil {
+					return
+				}
+				continue
+			}
+			if tail.Lost {
+				break
+			}
+			from = tail.End
+			if len(tail.Records) > 0 {
+				apply(tail.Records)
+				publish()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/messenger/attachment.go
@@ -0,0 +1,123 @@
+package messenger
+
+// This file defines the side of links that the leader opens to. It follows the
+// leader of the highest epoch: a link of a lower one is refused, a link of the
+// same or a higher one takes the place of the link before.
+
+import (
+	"net"
+	"sync"
+
+	"persimmonvalve/internal/wire"
+)
+
+// Attachment accepts the leader's link. It is safe for concurrent use.
+type Attachment struct {
+	node, role string
+	listener   net.Listener
+	handler    AttachmentHandler
+
+	mu    sync.Mutex
+	epoch int64
+	link  *Link
+	links map[*Link]bool
+}
+
+// AttachmentHandler is told of the leader's link. Calls for one link come one
+// at a time; those for a former link may still be under way.
+type AttachmentHandler interface {
+	// Attached tells of a new leader's link, before its frames.
+	Attached(l *Link, leader string, epoch int64)
+	// Frame takes a frame that came on a link.
+	Frame(l *Link, f *wire.LinkFrame)
+	// Detached tells that a link has ended.
+	Detached(l *Link, err error)
+}
+
+// NewAttachment starts to accept links on the listener.
+func NewAttachment(node, role string, listener net.Listener, handler AttachmentHandler) *Attachment {
+	a := &Attachment{node: node, role: role, listener: listener, handler: handler, links: map[*Link]bool{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // closed by Close
+			}
+			go a.serve(conn)
+		}
+	}()
+	return a
+}
+
+func (a *Attachment) serve(conn net.Conn) {
+	l, err := accept(conn)
+	if err != nil {
+		return // nothing came on it
+	}
+	a.mu.Lock()
+	a.links[l] = true
+	a.mu.Unlock()
+	attached := false
+	err = l.Run(func(f *wire.LinkFrame) {
+		switch body := f.Body.(type) {
+		case *wire.LinkFrame_Greeting:
+			attached = a.greet(l, body.Greeting)
+		case *wire.LinkFrame_Ping:
+			l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Pong{Pong: body.Ping}})
+			if attached && body.Ping.Leaving {
+				a.handler.Frame(l, f)
+			}
+		default:
+			if attached {
+				a.handler.Frame(l, f)
+			}
+		}
+	})
+	a.mu.Lock()
+	delete(a.links, l)
+	if a.link == l {
+		a.link = nil
+	}
+	a.mu.Unlock()
+	if attached {
+		a.handler.Detached(l, err)
+	}
+}
+
+func (a *Attachment) greet(l *Link, g *wire.Greeting) bool {
+	a.mu.Lock()
+	ok := g.Epoch >= a.epoch
+	var former *Link
+	if ok {
+		a.epoch = g.Epoch
+		if a.link != l {
+			former, a.link = a.link, l
+		}
+	}
+	l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Introduction{Introduction: &wire.Introduction{Node: a.node, Role: a.role, HighestEpoch: a.epoch}}})
+	a.mu.Unlock()
+	if former != nil {
+		former.Close()
+	}
+	if ok {
+		a.handler.Attached(l, g.Leader, g.Epoch)
+	}
+	return ok
+}
+
+// Leader returns the leader's link, nil when there is none.
+func (a *Attachment) Leader() *Link {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.link
+}
+
+// Close stops accepting and ends all links.
+func (a *Attachment) Close() {
+	_ = a.listener.Close() // nothing more is accepted either way
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for l := range a.links {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/planner/report.go
@@ -0,0 +1,197 @@
+package planner
+
+// This file defines what reports of workers change: lives, leases, ends.
+
+import (
+	"time"
+
+	pv "persimmonvalve"
+)
+
+// Look is the part of a report that comes from a look at the worker.
+type Look struct {
+	Token   int64 // under which the worker answered
+	Clock   time.Duration
+	Running []pv.RunStatus
+	Ended   []pv.RunEnd // that aren't acknowledged
+	Gone    []pv.RunRef // refused by the worker from now on, and not on it
+}
+
+// Report is what an agent says of the worker beside it.
+type Report struct {
+	Worker   pv.WorkerState
+	Departed bool // the worker said goodbye
+	Look     *Look
+}
+
+// Connect tells that the agent of a worker has a link to this leader.
+func (p *Planner) Connect(now time.Time, id pv.WorkerID) {
+	w := p.worker(now, id)
+	w.connected, w.whole = true, true
+}
+
+// Disconnect tells that the link is gone.
+func (p *Planner) Disconnect(id pv.WorkerID) {
+	if w, ok := p.workers[id]; ok {
+		w.connected = false
+	}
+}
+
+// Report takes in what an agent reports.
+func (p *Planner) Report(now time.Time, r Report) {
+	w := p.worker(now, r.Worker.ID)
+	if r.Worker.Life < w.state.Life && w.known {
+		return // of a life that is over
+	}
+	if r.Worker.Life != w.state.Life || !w.known {
+		w.begin(r.Worker.Life, p.epoch)
+		w.lapse = now.Add(p.settings.OrphanWait)
+		p.event(Event{Text: "worker begins", Worker: r.Worker.ID, Life: r.Worker.Life, Token: w.token})
+	}
+	if r.Worker.Leaving && !w.state.Leaving {
+		p.event(Event{Text: "worker leaves", Worker: r.Worker.ID, Life: r.Worker.Life})
+	}
+	w.heard = now
+	w.connected = true
+	w.state = r.Worker
+	if r.Departed && w.departed.IsZero() {
+		w.departed = now
+		p.event(Event{Text: "worker departed", Worker: r.Worker.ID, Life: r.Worker.Life})
+	}
+	if r.Look != nil && r.Look.Token == w.token {
+		p.look(now, w, r.Look)
+	}
+}
+
+func (p *Planner) look(now time.Time, w *worker, l *Look) {
+	if w.clockAt.IsZero() {
+		// Leases that a former leader extended end no later than its last
+		// reading of this clock plus the same grant.
+		w.lastGrant = max(w.lastGrant, l.Clock+p.settings.Grant)
+	}
+	w.clock, w.clockAt = l.Clock, now
+	for _, e := range l.Ended {
+		w.endSeen = max(w.endSeen, e.Number)
+		if r, ok := w.runs[e.Run]; ok {
+			r.begun = true
+			p.finishRun(now, r, e.Kind, e.Checkpoint, "")
+		}
+	}
+	for _, s := range l.Running {
+		r, ok := w.runs[s.Run]
+		if !ok {
+			continue // the agent stops what isn't in its whole orders
+		}
+		p.observe(now, r, s)
+	}
+	for _, g := range l.Gone {
+		if r, ok := w.runs[g]; ok && r.life == w.state.Life {
+			p.finishRun(now, r, pv.EndVanish, "", "neverStarted")
+		}
+	}
+	if w.fenced {
+		return
+	}
+	// From here on nothing of a former life or leader can begin on this life:
+	// what it doesn't run is over.
+	w.fenced = true
+	p.mustPlace = true
+	for _, r := range w.runs {
+		if r.life != w.state.Life {
+			p.finishRun(now, r, pv.EndVanish, "", "workerRestarted")
+		}
+	}
+}
+
+// observe notes the progress of a run. A run of a former life that the worker
+// lists was ordered then and carried out late: it goes on in this life.
+func (p *Planner) observe(now time.Time, r *run, s pv.RunStatus) {
+	j := r.task.step.job
+	if r.life != r.worker.state.Life {
+		r.life = r.worker.state.Life
+		p.touch(j)
+	}
+	r.begun = true
+	r.figure = s.Figure
+	if s.Percent > r.percent || r.moved.IsZero() {
+		r.percent, r.moved = s.Percent, now
+	}
+	if s.Checkpoint != "" {
+		r.task.checkpoint = s.Checkpoint
+	}
+	if j.state == pv.JobQueued {
+		j.state = pv.JobRunning
+		p.touch(j)
+	}
+}
+
+// finishRun ends a run whose end is proved.
+func (p *Planner) finishRun(now time.Time, r *run, kind pv.EndKind, checkpoint, reason string) {
+	t, s, j := r.task, r.task.step, r.task.step.job
+	p.event(Event{Text: "run " + string(kind), Job: j.spec.ID, Run: r.ref(), Worker: r.worker.state.ID, Reason: reason, Life: r.life, Age: now.Sub(r.worker.clockAt)})
+	p.detach(r)
+	p.touch(j)
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+	}
+	if r.begun && j.state == pv.JobQueued {
+		j.state = pv.JobRunning
+	}
+	switch kind {
+	case pv.EndDone:
+		r.worker.failStreak = 0
+		if !s.spec.Standing {
+			p.finishTask(now, t)
+		}
+	case pv.EndFailed:
+		p.failTask(now, r)
+	}
+}
+
+func (p *Planner) finishTask(now time.Time, t *task) {
+	s, j := t.step, t.step.job
+	t.finish()
+	if s.spec.Gang {
+		for _, o := range s.tasks { // the end of one member stands for all
+			o.finish()
+		}
+	}
+	if j.open == 0 && !j.state.Ended() {
+		p.end(now, j, pv.JobFinished, "")
+	}
+}
+
+func (t *task) finish() {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.open--
+	t.step.job.open--
+}
+
+// suspectAfter is the number of runs that must fail in a row on a worker
+// before it is taken to be at fault.
+const suspectAfter = 3
+
+func (p *Planner) failTask(now time.Time, r *run) {
+	t, s, j := r.task, r.task.step, r.task.step.job
+	t.avoid = r.worker.state.ID
+	r.worker.failStreak++
+	if r.worker.failStreak >= suspectAfter {
+		r.worker.quarantine = now.Add(p.settings.Quarantine)
+		r.worker.failStreak = suspectAfter - 1 // one more failure is enough after it
+		p.event(Event{Text: "worker quarantined", Worker: r.worker.state.ID, Life: r.worker.state.Life})
+	}
+	if s.spec.Standing || j.state.Ended() {
+		return
+	}
+	failures := &t.failures
+	if s.spec.Gang {
+		failures = &s.failures
+	}
+	*failures++
+	if *failures >= max(1, j.queue.Attempts) {
+		p.end(now, j, pv.JobFailed, "attemptsExhausted")
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
@@ -18,23 +19,24 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"persimmonvalve/internal/logfield"
+	"persimmonvalve/internal/logsink"
 )
 
-// NewLogger returns the logger that the settings ask for.
+// NewLogger returns the logger that the settings ask for. It writes to standard
+// output and never blocks.
 func NewLogger(c Common) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(level)
-	config.DisableStacktrace = true
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoding.EncodeDuration = zapcore.StringDurationEncoder
+	encoder := zapcore.NewJSONEncoder(encoding)
 	if c.LogFormat == "console" {
-		config.Encoding = "console"
-		config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+		encoder = zapcore.NewConsoleEncoder(encoding)
 	}
-	logger, err := config.Build()
-	return logger, Error.Wrap(err)
+	return zap.New(zapcore.NewCore(encoder, logsink.New(os.Stdout), level)), nil
 }
 
 // NewRegistry returns a registry with the process's own metrics.
@@ -107,9 +109,19 @@
 // StopTimeout bounds a graceful stop.
 const StopTimeout = 30 * time.Second
 
-// Wait returns when the process is told to stop by SIGTERM or SIGINT.
-func Wait() {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	<-ctx.Done()
+// Wait returns when the process is told to stop by SIGTERM or SIGINT. SIGHUP
+// changes nothing: all settings come from flags and environment, which only a
+// new process reads.
+func Wait(logger *zap.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			logger.Info("settings: reload asked for, nothing to reload")
+			continue
+		}
+		logger.Info("process: stop asked for", zap.Stringer("signal", s))
+		return
+	}
 }
