Report ends only from a look under the newest authority

Cause: a look that was under way when the leader changed came back after the new orders. Its report carried the old token, which the new leader ignores, but its ends were marked as reported; the next end was reported with a higher number and acknowledged, and with it those that nobody had taken in. Their tasks ran again.

Ruled out: a lapse proved too early; the run's lease was extended throughout.

A report now also names the number after which it holds every end; a leader that misses some asks for all again.

--- a/leader/peer.go
+++ b/leader/peer.go
@@ -139,7 +139,7 @@
 	}
 	out := planner.Report{Worker: report.Worker, Departed: report.Departed}
 	if report.Looked {
-		out.Look = &planner.Look{Token: report.Token, Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, Gone: report.Gone}
+		out.Look = &planner.Look{Token: report.Token, Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, Gone: report.Gone, EndsAfter: report.EndsAfter}
 	}
 	p.term.planner.Report(now, out)
 	p.term.sendOrdersTo(now, p)
--- a/planner/report.go
+++ b/planner/report.go
@@ -15,6 +15,8 @@
 	Running []pv.RunStatus
 	Ended   []pv.RunEnd // that aren't acknowledged
 	Gone    []pv.RunRef // refused by the worker from now on, and not on it
+	// EndsAfter is the number after which Ended holds every listed end.
+	EndsAfter int64
 }
 
 // Report is what an agent says of the worker beside it.
@@ -70,6 +72,10 @@
 		w.lastGrant = max(w.lastGrant, l.Clock+p.settings.Grant)
 	}
 	w.clock, w.clockAt = l.Clock, now
+	if l.EndsAfter > w.endSeen {
+		w.whole = true // ends were told to somebody else: the agent has to tell all again
+		return
+	}
 	for _, e := range l.Ended {
 		w.endSeen = max(w.endSeen, e.Number)
 		if r, ok := w.runs[e.Run]; ok {
--- a/supervisor/looking.go
+++ b/supervisor/looking.go
@@ -113,7 +113,10 @@
 	out := messenger.Report{Worker: v.state, Departed: v.departed, Looked: true, Token: q.authority.Token}
 	out.Runs = pv.WorkerRuns{Life: runs.Life, Clock: runs.Clock}
 	present := make(map[pv.RunRef]bool, len(runs.Running)+len(runs.Ended))
-	news, heard := false, v.link != nil && v.beat
+	// Only a look under the leader's newest authority may take ends off the list
+	// of those to report: the leader ignores others.
+	news, heard := false, v.link != nil && v.beat && q.authority.Token == v.authority.Token
+	out.EndsAfter = v.reported
 	for _, e := range runs.Ended {
 		present[e.Run] = true
 		delete(v.runs, e.Run)
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -60,7 +60,7 @@
 		v.sendState() // the leader doesn't know of this life yet
 		return
 	}
-	if o.Token != v.authority.Token || o.Life != v.life {
+	if o.Token != v.authority.Token || o.Life != v.life || o.Whole {
 		v.reported = 0
 		v.wakeLook()
 	}
