--- a/planner/place.go
+++ b/planner/place.go
@@ -127,8 +127,8 @@
 	}
 	size := s.spec.Size
 	if s.spec.Filler {
-		if w.filler+size.MilliCores > w.state.Capacity.MilliCores {
-			return false
+		if w.used.MilliCores+w.filler+size.MilliCores > w.state.Capacity.MilliCores {
+			return false // it would get no cores
 		}
 		size.MilliCores = 0
 	}
@@ -148,11 +148,30 @@
 }
 
 // score orders the workers that fit; the highest wins.
+//
+// Fillers slow serving tasks beside them, so the two are kept apart: serving
+// tasks gather on few workers, other work fills these first, and fillers get
+// the workers without serving tasks.
 func (w *worker) score(s *step) float64 {
-	free := w.state.Capacity.Sub(w.used)
-	score := 1 - w.used.Share(w.state.Capacity)
-	if s.spec.Filler {
-		score = fraction(free.MilliCores-w.filler, w.state.Capacity.MilliCores)
+	capacity := w.state.Capacity
+	used := w.used.Share(capacity)
+	score := -suspicion * float64(w.failStreak)
+	switch {
+	case s.spec.Filler:
+		score += fraction(capacity.MilliCores-w.used.MilliCores-w.filler, capacity.MilliCores)
+		if w.serving > 0 {
+			score -= besideServing
+		}
+	case s.spec.LatencyTarget > 0:
+		score += used - fraction(w.filler, capacity.MilliCores)
+		if w.serving > 0 {
+			score += besideServing
+		}
+	default:
+		score += used
+		if w.serving > 0 {
+			score += besideServing
+		}
 	}
 	if s.spec.DataRack != "" && slices.Contains(w.state.Labels, s.spec.DataRack) {
 		score += nearData
@@ -165,13 +184,14 @@
 			}
 		}
 	}
-	return score - suspicion*float64(w.failStreak)
+	return score
 }
 
-// Weights of a score, in shares of an empty worker.
+// Weights of a score, in shares of a worker.
 const (
-	nearData  = 2.0 // work elsewhere takes half as long again
-	suspicion = 0.2 // for each run in a row that failed there
+	nearData      = 3.0 // work elsewhere takes half as long again
+	besideServing = 1.0
+	suspicion     = 0.4 // for each run in a row that failed there
 )
 
 func fraction(part, whole int64) float64 { return float64(part) / float64(max(1, whole)) }
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -36,6 +36,7 @@
 	runs     map[pv.RunRef]*run
 	used     pv.Resources // by runs that count against the capacity
 	filler   int64        // millicores of fillers
+	serving  int          // runs with a latency target
 	endSeen  int64        // highest end that was taken in
 	endAcked int64        // highest end whose effect is stored
 	ackSent  int64        // what the agent was told of endAcked
@@ -127,5 +128,8 @@
 		w.filler += sign * size.MilliCores
 		size.MilliCores = 0
 	}
+	if s.LatencyTarget > 0 {
+		w.serving += int(sign)
+	}
 	w.used = w.used.Add(size.Scale(sign, 1))
 }
