Place fillers by the speed that they would get, move slow ones; the leader stands near the store

Cause: fillers beside serving tasks were paced to a few percent and stayed there; and a leader in the other region stored each batch in 45 ms instead of 5.

--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -68,13 +68,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	boot := uuid.Must(uuid.NewV7()).String()
-	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot}, logger)
+	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot, Candidate: true}, logger)
 	plan := planner.DefaultSettings()
 	plan.KeepEnded = s.KeepEnded + keepMargin
+	g := gateway.New(s.Node, gateway.Dependencies{Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	lead := leader.New(leader.Settings{Node: s.Node, Boot: boot, Planner: plan, TTL: s.GroupTTL}, leader.Dependencies{
-		Store: store, Members: members, Logger: logger, Registry: registry,
+		Store: store, Members: members, Quiet: g.Quiet, Logger: logger, Registry: registry,
 	})
-	g := gateway.New(s.Node, gateway.Dependencies{Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	config := platform.NewConfiguration(ctx, store, logger, lead.SetQueues)
 	front := runner.ServeHTTP(listeners[s.FrontAddress], platform.NewFront(config, g, logger), logger)
 	leaving := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,9 @@
 // Linked reports whether a leader can be asked.
 func (g *Gateway) Linked() bool { return g.attachment.Leader() != nil }
 
+// Quiet returns the time since the last word of a leader.
+func (g *Gateway) Quiet() time.Duration { return g.attachment.Quiet() }
+
 // Attached implements messenger.AttachmentHandler.
 func (g *Gateway) Attached(_ *messenger.Link, leader string, epoch int64) {
 	g.logger.Info("gateway: leader linked", zap.String("leader", leader), zap.Int64("epoch", epoch))
--- a/leader/directory.go
+++ b/leader/directory.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,7 @@
 const (
 	membersTopic    pv.Topic = "keyed.members"
 	announceTimeout          = 2 * time.Second
+	measureCalls             = 3                      // the first one also opens a connection
 	announcePause            = 200 * time.Millisecond // between tries, doubled up to announceSlow
 	announceSlow             = 2 * time.Second
 	tailWait                 = 5 * time.Second // of one read; a silent connection is noticed after it
@@ -27,12 +29,34 @@
 type Directory struct {
 	store  pv.Store
 	logger *zap.Logger
+	near   atomic.Bool
+}
+
+// Near reports whether this process was found to be in the store's region.
+func (d *Directory) Near() bool { return d.near.Load() }
+
+// measure finds out how far the store is. A slow answer isn't taken as far from
+// a single call.
+func (d *Directory) measure(ctx context.Context) {
+	for range measureCalls {
+		call, cancel := context.WithTimeout(ctx, announceTimeout)
+		begun := time.Now()
+		_, err := d.store.Newest(call, leaderTopic, "")
+		took := time.Since(begun)
+		cancel()
+		if err == nil && took < nearStore {
+			d.near.Store(true)
+			return
+		}
+	}
 }
 
 // NewDirectory starts to announce a process, until the context ends.
 func NewDirectory(ctx context.Context, store pv.Store, self Member, logger *zap.Logger) *Directory {
 	d := &Directory{store: store, logger: logger}
 	go func() {
+		d.measure(ctx)
+		self.Near = d.Near()
 		value, err := json.Marshal(self)
 		if err != nil {
 			panic(Error.Wrap(err)) // a member holds nothing that can't be encoded
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -36,8 +36,16 @@
 	joinEvery   = 300 * time.Millisecond // three tries within the shortest time to live
 	joinTimeout = time.Second
 	groupTTL    = 1200 * time.Millisecond
+	lookEvery   = 100 * time.Millisecond // at whether a leader is heard
+	quietNear   = 600 * time.Millisecond // without word of a leader: a process near the store stands; a ping and a fifth
+	quietFar    = 2 * time.Second        // the others leave it to those near the store for so long
+	stepAside   = 3 * time.Second        // a far leader that made way doesn't stand again for so long
 )
 
+// nearStore is the round trip to the store below which a process is in its
+// region: the store takes some 4 ms for an answer, another region adds 40 ms.
+const nearStore = 20 * time.Millisecond
+
 // Settings say which process this is.
 type Settings struct {
 	Node    string
@@ -50,6 +58,7 @@
 type Dependencies struct {
 	Store    pv.Store
 	Members  *Directory
+	Quiet    func() time.Duration // time since the last word of a leader
 	Logger   *zap.Logger
 	Registry prometheus.Registerer
 }
@@ -82,49 +91,94 @@
 	return l
 }
 
-// stand keeps up the membership and begins and ends terms with it.
+// stand joins the group while no leader is heard, keeps up the membership while
+// this process leads, and begins and ends terms with it. A process that hears a
+// leader stays out: each change of the members may change who is chosen.
 func (l *Leader) stand(ctx context.Context) {
-	member := l.settings.Node + "/" + l.settings.Boot
-	generation := int64(0)
-	lost := false
-	var running sync.WaitGroup
-	defer running.Wait()
+	c := candidacy{leader: l, member: l.settings.Node + "/" + l.settings.Boot}
+	defer c.running.Wait()
 	defer l.stopTerm("stopping")
-	defer func() {
-		leave, cancel := context.WithTimeout(context.Background(), joinTimeout)
-		defer cancel()
-		if err := l.deps.Store.Leave(leave, group, member); err != nil {
-			l.deps.Logger.Warn("leader: group not left", logfield.Error(err))
-		}
-	}()
+	defer c.leave()
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, joinTimeout)
-		status, err := l.deps.Store.Join(call, group, member, generation, l.settings.TTL)
-		cancel()
+		wait := lookEvery
 		switch {
-		case err != nil && !lost && ctx.Err() == nil:
-			lost = true
-			l.metrics.storeLost.Inc()
-			l.deps.Logger.Warn("leader: store lost", logfield.Error(err), zap.Int64("generation", generation))
-		case err == nil && lost:
-			lost = false
-			l.deps.Logger.Info("leader: store back", zap.Int64("generation", status.Generation))
-		}
-		if err == nil {
-			generation = status.Generation
-			if !status.Chosen {
-				l.stopTerm("notChosen")
-			} else if l.current() == nil {
-				l.startTerm(ctx, &running, generation)
-			}
+		case c.wanted():
+			c.join(ctx)
+			wait = joinEvery
+		case c.joined:
+			c.leave()
 		}
 		select {
-		case <-time.After(joinEvery):
+		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// candidacy is this process's membership of the group.
+type candidacy struct {
+	leader     *Leader
+	member     string
+	generation int64
+	joined     bool
+	lost       bool      // the store didn't answer the last call
+	aside      time.Time // not before it, after making way for a nearer process
+	running    sync.WaitGroup
+}
+
+func (c *candidacy) wanted() bool {
+	l := c.leader
+	if t := l.current(); t != nil {
+		if t.madeWay.Load() {
+			c.aside = time.Now().Add(stepAside)
+		}
+		return true
+	}
+	quiet := l.deps.Quiet()
+	if l.deps.Members.Near() {
+		return quiet > quietNear
+	}
+	return quiet > quietFar && time.Now().After(c.aside)
+}
+
+func (c *candidacy) join(ctx context.Context) {
+	l := c.leader
+	call, cancel := context.WithTimeout(ctx, joinTimeout)
+	status, err := l.deps.Store.Join(call, group, c.member, c.generation, l.settings.TTL)
+	cancel()
+	c.joined = true // perhaps, if the answer was lost
+	if err != nil {
+		if !c.lost && ctx.Err() == nil {
+			c.lost = true
+			l.metrics.storeLost.Inc()
+			l.deps.Logger.Warn("leader: store lost", logfield.Error(err), zap.Int64("generation", c.generation))
+		}
+		return
+	}
+	if c.lost {
+		c.lost = false
+		l.deps.Logger.Info("leader: store back", zap.Int64("generation", status.Generation))
+	}
+	c.generation = status.Generation
+	if !status.Chosen {
+		l.stopTerm("notChosen")
+	} else if l.current() == nil {
+		l.startTerm(ctx, &c.running, c.generation)
+	}
+}
+
+func (c *candidacy) leave() {
+	if !c.joined {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	if err := c.leader.deps.Store.Leave(ctx, group, c.member); err != nil {
+		c.leader.deps.Logger.Warn("leader: group not left", logfield.Error(err))
+	}
+	c.joined = false
+}
+
 func (l *Leader) current() *term {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,4 +248,7 @@
 	Role    string         `json:"role"`
 	Address netip.AddrPort `json:"address"`
 	Boot    string         `json:"boot"`
+	Near    bool           `json:"near,omitempty"` // it is in the store's region
+	// Candidate says that the process may lead.
+	Candidate bool `json:"candidate,omitempty"`
 }
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -31,14 +31,18 @@
 	member Member
 	link   *messenger.Link // nil while there is none
 	worker pv.WorkerID     // of an agent, once it is known
+	since  time.Time       // when the link began
 	pinged time.Time
 	pings  int64
 	cancel context.CancelFunc
+	closed context.Context // ends with the peer, not with the term: links say goodbye first
 }
 
 func newPeer(ctx context.Context, t *term, m Member) *peer {
-	ctx, cancel := context.WithCancel(ctx)
-	p := &peer{term: t, member: m, cancel: cancel}
+	closed, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	p := &peer{term: t, member: m, cancel: cancel, closed: closed}
+	ctx, stopDialling := context.WithCancel(ctx)
+	context.AfterFunc(closed, stopDialling)
 	go func() {
 		wait := redialAfter
 		for ctx.Err() == nil {
@@ -64,7 +68,7 @@
 	if err != nil {
 		return false // a peer that was never linked is tried again quietly
 	}
-	stop := context.AfterFunc(ctx, link.Close)
+	stop := context.AfterFunc(p.closed, link.Close)
 	defer stop()
 	link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Greeting{Greeting: &wire.Greeting{Leader: p.term.leader.settings.Node, Epoch: p.term.epoch}}})
 	introduced := false
@@ -91,7 +95,7 @@
 func (p *peer) close() { p.cancel() }
 
 func (p *peer) linked(now time.Time, link *messenger.Link) {
-	p.link = link
+	p.link, p.since = link, now
 	p.term.logger.Info("leader: peer linked", zap.String("node", p.member.Node), zap.Int64("epoch", p.term.epoch))
 	if p.worker != "" {
 		p.term.planner.Connect(now, p.worker)
@@ -139,7 +143,7 @@
 	}
 	out := planner.Report{Worker: report.Worker, Departed: report.Departed}
 	if report.Looked {
-		out.Look = &planner.Look{Token: report.Token, Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, Gone: report.Gone, EndsAfter: report.EndsAfter}
+		out.Look = &planner.Look{Token: report.Token, Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, Gone: report.Gone, EndsAfter: report.EndsAfter, FillerPace: report.FillerPace}
 	}
 	p.term.planner.Report(now, out)
 	p.term.sendOrdersTo(now, p)
--- a/leader/term.go
+++ b/leader/term.go
@@ -26,6 +26,8 @@
 	confirmEvery  = 2 * time.Second       // without a batch, one is stored to prove the term
 	storeLostWhen = time.Second           // a batch unanswered for so long: new work is refused
 	freshWithin   = time.Second           // a count may be as old as this
+	makeWayAfter  = time.Second           // of a link to a nearer process
+	farewell      = 20 * time.Millisecond // for the last frames to leave
 )
 
 type term struct {
@@ -34,6 +36,7 @@
 	logger  *zap.Logger
 	metrics *metrics
 	leading atomic.Bool
+	madeWay atomic.Bool  // it ended for a process nearer to the store
 	reason  atomic.Value // string: why it ended
 	control atomic.Pointer[kernel.Control]
 
@@ -98,6 +101,12 @@
 	t.leading.Store(false)
 	_ = control.Stop(context.Background()) // waits for the function that runs now
 	<-stored
+	for _, p := range t.links {
+		if p.link != nil {
+			p.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Ping{Ping: &wire.Ping{Leaving: true}}})
+		}
+	}
+	time.Sleep(farewell)
 	for _, p := range t.links {
 		p.close()
 	}
@@ -138,6 +147,7 @@
 			p.tick(now)
 		}
 		t.sendOrders(now)
+		t.makeWay(now)
 		if !t.committing && now.Sub(t.commitStart) > confirmEvery {
 			t.barrier = true
 		}
@@ -146,6 +156,21 @@
 	t.logEvents()
 }
 
+// makeWay ends the term of a leader far from the store once a gateway near it
+// has been linked for a while: each batch would cross between regions.
+func (t *term) makeWay(now time.Time) {
+	if t.leader.deps.Members.Near() {
+		return
+	}
+	for _, p := range t.links {
+		if p.member.Near && p.member.Candidate && p.link != nil && now.Sub(p.since) > makeWayAfter {
+			t.madeWay.Store(true)
+			t.stop("nearerCandidate")
+			return
+		}
+	}
+}
+
 func (t *term) mayGrant() bool {
 	return sinceBoot()-t.confirmed < t.leader.settings.Planner.Authority()
 }
--- a/messenger/attachment.go
+++ b/messenger/attachment.go
@@ -7,6 +7,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"persimmonvalve/internal/wire"
 )
@@ -21,6 +22,7 @@
 	epoch int64
 	link  *Link
 	links map[*Link]bool
+	lost  time.Time // when the last leader's link ended, or this side began
 }
 
 // AttachmentHandler is told of the leader's link. Calls for one link come one
@@ -36,7 +38,7 @@
 
 // NewAttachment starts to accept links on the listener.
 func NewAttachment(node, role string, listener net.Listener, handler AttachmentHandler) *Attachment {
-	a := &Attachment{node: node, role: role, listener: listener, handler: handler, links: map[*Link]bool{}}
+	a := &Attachment{node: node, role: role, listener: listener, handler: handler, links: map[*Link]bool{}, lost: time.Now()}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -64,8 +66,8 @@
 			attached = a.greet(l, body.Greeting)
 		case *wire.LinkFrame_Ping:
 			l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Pong{Pong: body.Ping}})
-			if attached && body.Ping.Leaving {
-				a.handler.Frame(l, f)
+			if body.Ping.Leaving {
+				a.leaderLeaves(l)
 			}
 		default:
 			if attached {
@@ -76,7 +78,7 @@
 	a.mu.Lock()
 	delete(a.links, l)
 	if a.link == l {
-		a.link = nil
+		a.link, a.lost = nil, time.Now()
 	}
 	a.mu.Unlock()
 	if attached {
@@ -105,6 +107,17 @@
 	return ok
 }
 
+// leaderNotice is how long a leader that says that it leaves counts as quiet.
+const leaderNotice = time.Second
+
+func (a *Attachment) leaderLeaves(l *Link) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.link == l {
+		a.link, a.lost = nil, time.Now().Add(-leaderNotice)
+	}
+}
+
 // Leader returns the leader's link, nil when there is none.
 func (a *Attachment) Leader() *Link {
 	a.mu.Lock()
@@ -112,6 +125,16 @@
 	return a.link
 }
 
+// Quiet returns the time since the last word of a leader.
+func (a *Attachment) Quiet() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.link != nil {
+		return a.link.Silent()
+	}
+	return time.Since(a.lost)
+}
+
 // Close stops accepting and ends all links.
 func (a *Attachment) Close() {
 	_ = a.listener.Close() // nothing more is accepted either way
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -11,13 +11,14 @@
 
 // Report is an agent's report as it came.
 type Report struct {
-	Worker    pv.WorkerState
-	Departed  bool
-	Looked    bool // the fields below were filled by a look
-	Token     int64
-	Runs      pv.WorkerRuns
-	Gone      []pv.RunRef
-	EndsAfter int64 // Runs.Ended holds every listed end with a higher number
+	Worker     pv.WorkerState
+	Departed   bool
+	Looked     bool // the fields below were filled by a look
+	Token      int64
+	Runs       pv.WorkerRuns
+	Gone       []pv.RunRef
+	FillerPace int   // percent at which fillers may work
+	EndsAfter  int64 // Runs.Ended holds every listed end with a higher number
 }
 
 func encodeRun(r pv.RunRef) *wire.Run {
@@ -56,7 +57,7 @@
 		Ended: mapSlice(r.Runs.Ended, func(e pv.RunEnd) *wire.RunEnd {
 			return &wire.RunEnd{Number: e.Number, Run: encodeRun(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint}
 		}),
-		Gone: mapSlice(r.Gone, encodeRun), EndsAfter: r.EndsAfter,
+		Gone: mapSlice(r.Gone, encodeRun), EndsAfter: r.EndsAfter, FillerPace: int32(r.FillerPace),
 	}
 }
 
@@ -79,7 +80,7 @@
 				return pv.RunEnd{Number: e.Number, Run: decodeRun(e.Run), Kind: pv.EndKind(e.Kind), Checkpoint: e.Checkpoint}
 			}),
 		},
-		Gone: mapSlice(r.Gone, decodeRun), EndsAfter: r.EndsAfter,
+		Gone: mapSlice(r.Gone, decodeRun), EndsAfter: r.EndsAfter, FillerPace: int(r.FillerPace),
 	}
 }
 
--- a/planner/job.go
+++ b/planner/job.go
@@ -47,6 +47,7 @@
 	checkpoint string
 	run        *run
 	avoid      pv.WorkerID // where it failed last
+	waits      time.Time   // since when its turn has come; zero while it runs
 }
 
 // run is an attempt that may be on its worker.
@@ -60,6 +61,7 @@
 	begun     bool // seen on the worker
 	percent   int
 	moved     time.Time // when percent last rose
+	started   time.Time
 	figure    int64
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -42,7 +42,13 @@
 			if !t.waiting() {
 				continue
 			}
+			if t.waits.IsZero() {
+				t.waits = now
+			}
 			w := p.choose(now, t, workers)
+			if w != nil && c.step.spec.Filler && now.Sub(t.waits) < fillerWait && w.fillerSpeed(c.step.spec.Size.MilliCores) < goodSpeed {
+				break
+			}
 			if w == nil {
 				full[shapeOf(c.step)] = c.step.spec.PerWorker == 0 && t.avoid == ""
 				break
@@ -52,6 +58,38 @@
 	}
 }
 
+// moveFillers stops fillers that are slow where they are and would be fast
+// elsewhere. They resume from what the stop saves.
+func (p *Planner) moveFillers(now time.Time) {
+	workers := p.usableWorkers(now)
+	taken := map[*worker]int64{}
+	moves := 0
+	for _, w := range workers {
+		speed := w.fillerSpeed(0)
+		if w.filler == 0 || speed > 1-moveGain {
+			continue
+		}
+		for _, r := range w.runs {
+			s := r.task.step
+			if !s.spec.Filler || !s.spec.Checkpoints || s.spec.Gang || r.stopping || !r.begun || now.Sub(r.started) < time.Second {
+				continue
+			}
+			for _, o := range workers {
+				if o != w && o.fits(r.task) && o.fillerSpeed(taken[o]+s.spec.Size.MilliCores) > speed+moveGain {
+					taken[o] += s.spec.Size.MilliCores
+					p.stop(r)
+					p.event(Event{Text: "filler moves", Job: s.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Life: r.life, Reason: "slowThere"})
+					moves++
+					break
+				}
+			}
+			if moves >= movesPerPass {
+				return
+			}
+		}
+	}
+}
+
 // shape is what decides whether a task fits a worker.
 type shape struct {
 	size    pv.Resources
@@ -127,9 +165,6 @@
 	}
 	size := s.spec.Size
 	if s.spec.Filler {
-		if w.used.MilliCores+w.filler+size.MilliCores > w.state.Capacity.MilliCores {
-			return false // it would get no cores
-		}
 		size.MilliCores = 0
 	}
 	if !w.used.Add(size).Fits(w.state.Capacity) {
@@ -158,10 +193,7 @@
 	score := -suspicion * float64(w.failStreak)
 	switch {
 	case s.spec.Filler:
-		score += fraction(capacity.MilliCores-w.used.MilliCores-w.filler, capacity.MilliCores)
-		if w.serving > 0 {
-			score -= besideServing
-		}
+		score += w.fillerSpeed(s.spec.Size.MilliCores)
 	case s.spec.LatencyTarget > 0:
 		score += used - fraction(w.filler, capacity.MilliCores)
 		if w.serving > 0 {
@@ -187,6 +219,26 @@
 	return score
 }
 
+// fillerSpeed estimates the share of full speed at which one more filler of
+// the given millicores would work.
+func (w *worker) fillerSpeed(size int64) float64 {
+	free := w.state.Capacity.MilliCores - w.used.MilliCores
+	speed := min(1, fraction(max(0, free), w.filler+size))
+	if w.serving > 0 {
+		speed *= min(servingPace, float64(w.pace)/100)
+	}
+	return speed
+}
+
+// Bounds of where fillers go.
+const (
+	servingPace  = 0.7                     // of a filler beside serving tasks, at most: it may be slowed any moment
+	goodSpeed    = 0.75                    // a filler starts at once where it gets this
+	fillerWait   = 1200 * time.Millisecond // then it starts wherever it is fastest; it may not wait 3 s
+	moveGain     = 0.5                     // a filler that saves its progress moves for this much more speed
+	movesPerPass = 4
+)
+
 // Weights of a score, in shares of a worker.
 const (
 	nearData      = 3.0 // work elsewhere takes half as long again
@@ -215,8 +267,8 @@
 }
 
 func (p *Planner) assign(now time.Time, t *task, w *worker, attempt int) {
-	t.attempt = attempt
-	r := &run{task: t, attempt: attempt, worker: w, life: w.state.Life, moved: now}
+	t.attempt, t.waits = attempt, time.Time{}
+	r := &run{task: t, attempt: attempt, worker: w, life: w.state.Life, moved: now, started: now}
 	p.attach(r)
 	p.newRuns = append(p.newRuns, r)
 	p.touch(t.step.job)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -47,6 +47,7 @@
 	newStops  []*run
 	mustPlace bool
 	placedAt  time.Time
+	movedAt   time.Time
 	swept     time.Time
 	events    []Event
 }
@@ -166,6 +167,9 @@
 	p.newStops = append(p.newStops, r)
 }
 
+// moveEvery is the pause between two looks at slow fillers.
+const moveEvery = 500 * time.Millisecond
+
 // Tick moves what only time moves: lapsed leases, due occurrences, ended jobs
 // past their time, tasks that wait.
 func (p *Planner) Tick(now time.Time) {
@@ -180,6 +184,10 @@
 	}
 	if p.mustPlace || now.Sub(p.placedAt) > p.settings.PlaceEvery {
 		p.place(now)
+		if now.Sub(p.movedAt) > moveEvery {
+			p.movedAt = now
+			p.moveFillers(now)
+		}
 		p.placedAt, p.mustPlace = now, false
 	}
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -15,6 +15,8 @@
 	Running []pv.RunStatus
 	Ended   []pv.RunEnd // that aren't acknowledged
 	Gone    []pv.RunRef // refused by the worker from now on, and not on it
+	// FillerPace is the percentage at which fillers may work there.
+	FillerPace int
 	// EndsAfter is the number after which Ended holds every listed end.
 	EndsAfter int64
 }
@@ -71,7 +73,7 @@
 		// reading of this clock plus the same grant.
 		w.lastGrant = max(w.lastGrant, l.Clock+p.settings.Grant)
 	}
-	w.clock, w.clockAt = l.Clock, now
+	w.clock, w.clockAt, w.pace = l.Clock, now, l.FillerPace
 	if l.EndsAfter > w.endSeen {
 		w.whole = true // ends were told to somebody else: the agent has to tell all again
 		return
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -37,6 +37,7 @@
 	used     pv.Resources // by runs that count against the capacity
 	filler   int64        // millicores of fillers
 	serving  int          // runs with a latency target
+	pace     int          // percentage at which fillers may work
 	endSeen  int64        // highest end that was taken in
 	endAcked int64        // highest end whose effect is stored
 	ackSent  int64        // what the agent was told of endAcked
--- a/supervisor/looking.go
+++ b/supervisor/looking.go
@@ -110,7 +110,7 @@
 		return false
 	}
 	now := time.Now()
-	out := messenger.Report{Worker: v.state, Departed: v.departed, Looked: true, Token: q.authority.Token}
+	out := messenger.Report{Worker: v.state, Departed: v.departed, Looked: true, Token: q.authority.Token, FillerPace: v.pacer.pace}
 	out.Runs = pv.WorkerRuns{Life: runs.Life, Clock: runs.Clock}
 	present := make(map[pv.RunRef]bool, len(runs.Running)+len(runs.Ended))
 	// Only a look under the leader's newest authority may take ends off the list
