Claim terms when the jobs topic is still; accept through an inbox while no leader can be asked

Ruled out: the group's TTL alone as the test of life (it says who may join, not who can commit); holding callers until there is a leader (late refusals).

Membership of a group is no longer used; the leader's appends are its heartbeat, and the claim is a conditional append.

--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -1,5 +1,5 @@
-// Command pvalve-gateway answers callers of jobs, and leads the site while the
-// store's group has chosen it.
+// Command pvalve-gateway answers callers of jobs, and leads the site while it
+// holds the term.
 package main
 
 import (
@@ -30,7 +30,6 @@
 	ReadyAddress netip.AddrPort `arg:"--ready-address,env:PVALVE_READY_ADDRESS" help:"IP and port that says whether callers may come" validate:"address"`
 	LinkAddress  netip.AddrPort `arg:"--link-address,env:PVALVE_LINK_ADDRESS" help:"IP and port for the leader's link" validate:"address"`
 	StoreAddress netip.AddrPort `arg:"--store-address,env:PVALVE_STORE_ADDRESS" help:"IP and port of the platform's store" validate:"address"`
-	GroupTTL     time.Duration  `arg:"--group-ttl,env:PVALVE_GROUP_TTL" default:"1s" help:"shortest time to live of a group's member that the store allows" validate:"gt=0"`
 	KeepEnded    time.Duration  `arg:"--keep-ended,env:PVALVE_KEEP_ENDED" default:"120s" help:"how long the state of an ended job must stay readable" validate:"gt=0"`
 	Grace        time.Duration  `arg:"--grace,env:PVALVE_GRACE" default:"6s" help:"from SIGTERM to the end of the process" validate:"gte=1s"`
 }
@@ -71,8 +70,8 @@
 	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot, Candidate: true}, logger)
 	plan := planner.DefaultSettings()
 	plan.KeepEnded = s.KeepEnded + keepMargin
-	g := gateway.New(s.Node, gateway.Dependencies{Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
-	lead := leader.New(leader.Settings{Node: s.Node, Boot: boot, Planner: plan, TTL: s.GroupTTL}, leader.Dependencies{
+	g := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
+	lead := leader.New(leader.Settings{Node: s.Node, Boot: boot, Planner: plan}, leader.Dependencies{
 		Store: store, Members: members, Quiet: g.Quiet, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfiguration(ctx, store, logger, lead.SetQueues)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,9 +32,10 @@
 
 // Intervals of a call.
 const (
-	leaderWait = 100 * time.Millisecond // for a link before a call is refused; a fifth of the shortest objective
-	askPause   = 50 * time.Millisecond  // between questions that the leader can't decide yet
-	RetryAfter = time.Second            // told to refused callers: about the time of a change of leader
+	leaderWait = 50 * time.Millisecond // for a link before a call goes another way; a tenth of the shortest objective
+	replyWait  = time.Second           // for a leader's reply before a call goes another way as well
+	askPause   = 50 * time.Millisecond // between questions that the leader can't decide yet
+	RetryAfter = time.Second           // told to refused callers: about the time of a change of leader
 )
 
 // Result says how a call ended.
@@ -63,6 +64,7 @@
 
 // Dependencies are what a gateway needs.
 type Dependencies struct {
+	Store    pv.Store
 	Listener net.Listener // for the leader's link
 	Logger   *zap.Logger
 	Registry prometheus.Registerer
@@ -70,11 +72,13 @@
 
 // Gateway asks the leader. It is safe for concurrent use.
 type Gateway struct {
+	store      pv.Store
 	logger     *zap.Logger
 	attachment *messenger.Attachment
 	number     atomic.Int64
 	latency    *prometheus.HistogramVec
 	results    *prometheus.CounterVec
+	viaInbox   prometheus.Counter
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when a link comes
@@ -84,11 +88,12 @@
 // New starts a gateway.
 func New(node string, d Dependencies) *Gateway {
 	g := &Gateway{
-		logger: d.Logger, changed: make(chan struct{}), open: map[int64]chan *wire.Reply{},
+		store: d.Store, logger: d.Logger, changed: make(chan struct{}), open: map[int64]chan *wire.Reply{},
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "pvalve", Name: "gateway_call_seconds", Help: "Time of callers' calls, by kind.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 12)}, []string{"call"}),
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "pvalve", Name: "gateway_calls_total", Help: "Callers' calls, by kind and result."}, []string{"call", "result"}),
 	}
-	d.Registry.MustRegister(g.latency, g.results)
+	g.viaInbox = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "pvalve", Name: "gateway_inbox_total", Help: "Jobs and cancellations written into the inbox because no leader could be asked."})
+	d.Registry.MustRegister(g.latency, g.results, g.viaInbox)
 	g.attachment = messenger.NewAttachment(node, Role, d.Listener, g)
 	return g
 }
@@ -173,21 +178,27 @@
 
 func (g *Gateway) ask(ctx context.Context, q *wire.Question) Answer {
 	sent := false
+	writes := q.Kind == leader.QuestionSubmit || q.Kind == leader.QuestionCancel
 	for {
-		link := g.awaitLink(ctx, sent)
-		if link == nil {
-			if sent {
-				return Answer{Result: Unanswered}
-			}
+		link := g.awaitLink(ctx, sent && !writes)
+		switch {
+		case link == nil && writes:
+			return g.intoInbox(ctx, q, sent)
+		case link == nil && sent:
+			return Answer{Result: Unanswered}
+		case link == nil:
 			return Answer{Result: NoLeader}
 		}
-		reply := g.askOn(ctx, link, q)
+		reply := g.askOn(ctx, link, q, writes)
 		if reply == nil {
 			sent = true
 			if ctx.Err() != nil {
 				return Answer{Result: Unanswered}
 			}
-			continue // the link ended
+			if writes {
+				return g.intoInbox(ctx, q, sent) // the link ended, or its leader can't decide
+			}
+			continue
 		}
 		switch reply.Verdict {
 		case leader.VerdictDone:
@@ -197,9 +208,7 @@
 		case leader.VerdictBadInput:
 			return Answer{Result: BadInput}
 		case leader.VerdictStoreLost:
-			if !sent {
-				return Answer{Result: StoreLost}
-			}
+			return g.intoInbox(ctx, q, sent) // the store may answer this process
 		}
 		// Undecided, or an earlier question may still take effect.
 		select {
@@ -235,7 +244,15 @@
 	}
 }
 
-func (g *Gateway) askOn(ctx context.Context, link *messenger.Link, q *wire.Question) *wire.Reply {
+// askOn returns the leader's reply, nil when there is none. With bounded it
+// waits no longer than for a leader that works.
+func (g *Gateway) askOn(ctx context.Context, link *messenger.Link, q *wire.Question, bounded bool) *wire.Reply {
+	var late <-chan time.Time
+	if bounded {
+		timer := time.NewTimer(replyWait)
+		defer timer.Stop()
+		late = timer.C
+	}
 	number := g.number.Add(1)
 	answer := make(chan *wire.Reply, 1)
 	g.mu.Lock()
@@ -254,6 +271,8 @@
 		return r
 	case <-link.Done():
 		return nil
+	case <-late:
+		return nil
 	case <-ctx.Done():
 		return nil
 	}
--- /dev/null
+++ b/gateway/inbox.go
@@ -0,0 +1,39 @@
+package gateway
+
+// This file defines what a gateway does for a caller while no leader can be
+// asked: it writes the job or the cancellation into the store itself.
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/logfield"
+	"persimmonvalve/internal/wire"
+	"persimmonvalve/leader"
+)
+
+// intoInbox hands a question in through the inbox. Sent says that a leader may
+// have it already, so that it can't be refused any more.
+func (g *Gateway) intoInbox(ctx context.Context, q *wire.Question, sent bool) Answer {
+	record := leader.InboxCancel(pv.JobID(q.Job))
+	if q.Kind == leader.QuestionSubmit {
+		var err error
+		if record, err = leader.InboxJob(pv.JobID(q.Job), q.Body, q.Policy); err != nil {
+			return Answer{Result: BadInput}
+		}
+	}
+	verdict, _, err := g.store.Append(ctx, leader.InboxTopic, pv.Writer{}, pv.AtAnyOffset, []pv.KeyedRecord{record})
+	if err != nil {
+		g.logger.Info("gateway: inbox not written", zap.String("call", q.Kind), zap.String("job", q.Job), zap.String("verdict", string(verdict)), logfield.Error(err))
+	}
+	switch {
+	case verdict == pv.AppendDone:
+		g.viaInbox.Inc()
+		return Answer{Result: Done}
+	case verdict == pv.AppendRefused && !sent:
+		return Answer{Result: StoreLost}
+	}
+	return Answer{Result: Unanswered}
+}
--- a/leader/claim.go
+++ b/leader/claim.go
@@ -29,9 +29,37 @@
 	claimPause    = 100 * time.Millisecond // between tries while the store doesn't answer
 )
 
-// claim returns a new epoch and the jobs' records.
-func claim(ctx context.Context, store pv.Store, node, boot string) (int64, []pv.KeyedRecord, error) {
-	epoch, err := claimEpoch(ctx, store, node, boot)
+// afterAllKeys is past every key of the jobs topic: a read after it tells where
+// the topic ends and no more.
+const afterAllKeys = "~"
+
+// lastClaim is the newest claim of a term.
+type lastClaim struct {
+	record leaderRecord
+	end    pv.Offset // of the leader topic when it was read
+}
+
+func readClaim(ctx context.Context, store pv.Store) (lastClaim, error) {
+	page, err := store.Newest(ctx, leaderTopic, "")
+	if err != nil {
+		return lastClaim{}, err
+	}
+	last := lastClaim{end: page.End}
+	for _, r := range page.Records {
+		if r.Key != leaderKey {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &last.record); err != nil {
+			return lastClaim{}, Error.New("leader record can't be read: %w", err)
+		}
+	}
+	return last, nil
+}
+
+// claim takes the epoch after the last claim and returns it with the jobs'
+// records. It fails when another process has claimed it.
+func claim(ctx context.Context, store pv.Store, last lastClaim, node, boot string) (int64, []pv.KeyedRecord, error) {
+	epoch, err := claimEpoch(ctx, store, last, node, boot)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -62,38 +90,28 @@
 	return []pv.KeyedRecord{{Key: termKey, Value: value}}
 }
 
-func claimEpoch(ctx context.Context, store pv.Store, node, boot string) (int64, error) {
-	unanswered := int64(0) // epoch of an append whose answer was lost
+func claimEpoch(ctx context.Context, store pv.Store, last lastClaim, node, boot string) (int64, error) {
+	mine := leaderRecord{Epoch: last.record.Epoch + 1, Node: node, Boot: boot}
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
 	for {
-		page, err := newest(ctx, store, leaderTopic, "")
-		if err != nil {
-			return 0, err
-		}
-		last := leaderRecord{}
-		for _, r := range page.Records {
-			if r.Key != leaderKey {
-				continue
-			}
-			if err := json.Unmarshal(r.Value, &last); err != nil {
-				return 0, Error.New("leader record can't be read: %w", err)
-			}
-		}
-		if unanswered > 0 && last == (leaderRecord{Epoch: unanswered, Node: node, Boot: boot}) {
-			return last.Epoch, nil // it took effect
-		}
-		mine := leaderRecord{Epoch: last.Epoch + 1, Node: node, Boot: boot}
-		value, err := json.Marshal(mine)
-		if err != nil {
-			return 0, Error.Wrap(err)
-		}
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
-		verdict, _, err := store.Append(call, leaderTopic, pv.Writer{}, page.End, []pv.KeyedRecord{{Key: leaderKey, Value: value}})
+		verdict, _, err := store.Append(call, leaderTopic, pv.Writer{}, last.end, []pv.KeyedRecord{{Key: leaderKey, Value: value}})
 		cancel()
 		switch verdict {
 		case pv.AppendDone:
 			return mine.Epoch, nil
-		case pv.AppendUnknown:
-			unanswered = mine.Epoch
+		case pv.AppendMoved:
+			// An append whose answer was lost may have been this one.
+			now, err := readClaim(ctx, store)
+			if err == nil && now.record == mine {
+				return mine.Epoch, nil
+			}
+			if err == nil {
+				return 0, Error.New("epoch %d was claimed by %s", now.record.Epoch, now.record.Node)
+			}
 		}
 		if err := pause(ctx, err); err != nil {
 			return 0, err
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -1,9 +1,10 @@
 package leader
 
-// This file defines who leads. Membership of a group at the store chooses a
-// candidate; the right to lead comes from a conditional append alone, which
-// gives each term an epoch of its own (claim.go). So a wrong choice costs time
-// and never safety.
+// This file defines who leads. A leader appends to the jobs topic all the time;
+// a candidate that hears no leader watches the topic and claims the term when
+// nothing comes. The right to lead comes from conditional appends alone
+// (claim.go), so a wrong guess costs time and never safety. A leader that the
+// candidate can't hear, but that still appends, is left in its place.
 
 import (
 	"context"
@@ -23,23 +24,22 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("leader")
 
-// The store's topics and group.
+// The store's topics.
 const (
 	leaderTopic pv.Topic = "keyed.leader"
 	jobsTopic   pv.Topic = "keyed.jobs"
-	group                = "leader"
 	writerName           = "leader"
 )
 
-// Intervals of the membership.
+// Intervals of a candidacy.
 const (
-	joinEvery   = 300 * time.Millisecond // three tries within the shortest time to live
-	joinTimeout = time.Second
-	groupTTL    = 1200 * time.Millisecond
-	lookEvery   = 100 * time.Millisecond // at whether a leader is heard
-	quietNear   = 600 * time.Millisecond // without word of a leader: a process near the store stands; a ping and a fifth
-	quietFar    = 2 * time.Second        // the others leave it to those near the store for so long
-	stepAside   = 3 * time.Second        // a far leader that made way doesn't stand again for so long
+	lookEvery  = 100 * time.Millisecond  // at whether a leader is heard
+	quietNear  = 600 * time.Millisecond  // without word of a leader: a process near the store watches; a ping and a fifth
+	quietFar   = 2 * time.Second         // the others leave it to those near the store for so long
+	stillNear  = 900 * time.Millisecond  // without an append: the term is claimed; two of a leader's and a slow store's answer
+	stillFar   = 1500 * time.Millisecond // for those far from the store
+	watchSlack = time.Second             // for the answer of a read to come back
+	stepAside  = 3 * time.Second         // a far leader that made way doesn't stand again for so long
 )
 
 // nearStore is the round trip to the store below which a process is in its
@@ -51,7 +51,6 @@
 	Node    string
 	Boot    string // tells lives of the process apart
 	Planner planner.Settings
-	TTL     time.Duration // of the membership; the store may ask for more than the default
 }
 
 // Dependencies are what a leader needs.
@@ -79,9 +78,6 @@
 
 // New starts a candidate.
 func New(s Settings, d Dependencies) *Leader {
-	if s.TTL < groupTTL {
-		s.TTL = groupTTL
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leader{settings: s, deps: d, metrics: newMetrics(d.Registry), cancel: cancel, ended: make(chan struct{})}
 	go func() {
@@ -91,129 +87,102 @@
 	return l
 }
 
-// stand joins the group while no leader is heard, keeps up the membership while
-// this process leads, and begins and ends terms with it. A process that hears a
-// leader stays out: each change of the members may change who is chosen.
+// stand watches for a term without a leader and leads it.
 func (l *Leader) stand(ctx context.Context) {
-	c := candidacy{leader: l, member: l.settings.Node + "/" + l.settings.Boot}
-	defer c.running.Wait()
-	defer l.stopTerm("stopping")
-	defer c.leave()
+	c := candidacy{leader: l}
 	for ctx.Err() == nil {
-		wait := lookEvery
-		switch {
-		case c.wanted():
-			c.join(ctx)
-			wait = joinEvery
-		case c.joined:
-			c.leave()
+		if c.wanted() && c.still(ctx) {
+			c.lead(ctx)
+			continue
 		}
 		select {
-		case <-time.After(wait):
+		case <-time.After(lookEvery):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// candidacy is this process's membership of the group.
+// candidacy is what this process knows of a term that it may claim.
 type candidacy struct {
-	leader     *Leader
-	member     string
-	generation int64
-	joined     bool
-	lost       bool      // the store didn't answer the last call
-	aside      time.Time // not before it, after making way for a nearer process
-	running    sync.WaitGroup
+	leader *Leader
+	last   lastClaim
+	lost   bool      // the store didn't answer the last call
+	aside  time.Time // not before it, after making way for a nearer process
 }
 
 func (c *candidacy) wanted() bool {
-	l := c.leader
-	if t := l.current(); t != nil {
-		if t.madeWay.Load() {
-			c.aside = time.Now().Add(stepAside)
-		}
-		return true
-	}
-	quiet := l.deps.Quiet()
-	if l.deps.Members.Near() {
+	quiet := c.leader.deps.Quiet()
+	if c.leader.deps.Members.Near() {
 		return quiet > quietNear
 	}
 	return quiet > quietFar && time.Now().After(c.aside)
 }
 
-func (c *candidacy) join(ctx context.Context) {
-	l := c.leader
-	call, cancel := context.WithTimeout(ctx, joinTimeout)
-	status, err := l.deps.Store.Join(call, group, c.member, c.generation, l.settings.TTL)
-	cancel()
-	c.joined = true // perhaps, if the answer was lost
-	if err != nil {
-		if !c.lost && ctx.Err() == nil {
-			c.lost = true
-			l.metrics.storeLost.Inc()
-			l.deps.Logger.Warn("leader: store lost", logfield.Error(err), zap.Int64("generation", c.generation))
-		}
-		return
+// still reports whether the leader has stopped to append. What it finds of the
+// last claim was read before it began to watch, so that a claim by another
+// candidate meanwhile makes this one fail.
+func (c *candidacy) still(ctx context.Context) bool {
+	wait := stillFar
+	if c.leader.deps.Members.Near() {
+		wait = stillNear
 	}
-	if c.lost {
+	still, err := c.watch(ctx, wait)
+	switch {
+	case err != nil && !c.lost && ctx.Err() == nil:
+		c.lost = true
+		c.leader.metrics.storeLost.Inc()
+		c.leader.deps.Logger.Warn("leader: store lost", logfield.Error(err))
+	case err == nil && c.lost:
 		c.lost = false
-		l.deps.Logger.Info("leader: store back", zap.Int64("generation", status.Generation))
-	}
-	c.generation = status.Generation
-	if !status.Chosen {
-		l.stopTerm("notChosen")
-	} else if l.current() == nil {
-		l.startTerm(ctx, &c.running, c.generation)
+		c.leader.deps.Logger.Info("leader: store back")
 	}
+	return still
 }
 
-func (c *candidacy) leave() {
-	if !c.joined {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+func (c *candidacy) watch(ctx context.Context, wait time.Duration) (bool, error) {
+	store := c.leader.deps.Store
+	call, cancel := context.WithTimeout(ctx, watchSlack)
 	defer cancel()
-	if err := c.leader.deps.Store.Leave(ctx, group, c.member); err != nil {
-		c.leader.deps.Logger.Warn("leader: group not left", logfield.Error(err))
+	last, err := readClaim(call, store)
+	if err != nil {
+		return false, err
 	}
-	c.joined = false
-}
-
-func (l *Leader) current() *term {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.term
+	page, err := store.Newest(call, jobsTopic, afterAllKeys)
+	if err != nil {
+		return false, err
+	}
+	c.last = last
+	watch, cancelWatch := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancelWatch()
+	tail, err := store.Tail(watch, jobsTopic, page.End, wait)
+	return err == nil && len(tail.Records) == 0 && !tail.Lost && c.wanted(), err
 }
 
-func (l *Leader) startTerm(ctx context.Context, running *sync.WaitGroup, generation int64) {
+// lead claims the term and leads until it is over.
+func (c *candidacy) lead(ctx context.Context) {
+	l := c.leader
 	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	t := &term{leader: l, cancel: cancel, logger: l.deps.Logger, metrics: l.metrics}
 	l.mu.Lock()
 	l.term = t
 	l.mu.Unlock()
-	running.Add(1)
-	go func() {
-		defer running.Done()
-		reason := t.run(termCtx)
-		cancel()
-		l.deps.Logger.Info("leader: term ended", zap.Int64("epoch", t.epoch), zap.String("reason", reason), zap.Int64("generation", generation))
-		l.mu.Lock()
-		if l.term == t {
-			l.term = nil
-		}
-		l.mu.Unlock()
-	}()
-}
-
-func (l *Leader) stopTerm(reason string) {
+	reason := t.run(termCtx, c.last)
 	l.mu.Lock()
-	t := l.term
+	l.term = nil
 	l.mu.Unlock()
-	if t != nil {
-		t.stop(reason)
+	l.deps.Logger.Info("leader: term ended", zap.Int64("epoch", t.epoch), zap.String("reason", reason))
+	if t.madeWay.Load() {
+		c.aside = time.Now().Add(stepAside)
 	}
 }
 
+func (l *Leader) current() *term {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
 // SetQueues takes over the operator's newest queues.
 func (l *Leader) SetQueues(queues []pv.Queue) {
 	l.mu.Lock()
@@ -231,7 +200,7 @@
 	return t != nil && t.leading.Load()
 }
 
-// Stop leaves the group and ends a term after its last batch.
+// Stop ends a term and stands no more.
 func (l *Leader) Stop(ctx context.Context) error {
 	l.cancel()
 	select {
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -120,7 +120,7 @@
 	}
 	p.pinged = now
 	p.pings++
-	p.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Ping{Ping: &wire.Ping{Number: p.pings}}})
+	p.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Ping{Ping: &wire.Ping{Number: p.pings, Stuck: p.term.storeLost(now)}}})
 }
 
 func (p *peer) frame(now time.Time, link *messenger.Link, f *wire.LinkFrame) {
@@ -178,13 +178,25 @@
 		case known:
 			t.waiting = append(t.waiting, verdict(VerdictDone))
 		default:
-			t.waiting = append(t.waiting, verdict(VerdictUnknownJob))
+			t.settle(func() {
+				if !t.planner.Cancel(time.Now(), id) {
+					verdict(VerdictUnknownJob)()
+					return
+				}
+				t.waiting = append(t.waiting, verdict(VerdictDone))
+			})
 		}
 	case QuestionState:
 		state, known := t.planner.State(id)
 		switch {
 		case !known:
-			t.waiting = append(t.waiting, verdict(VerdictUnknownJob))
+			t.settle(func() {
+				if state, known := t.planner.State(id); known {
+					answer(&wire.Reply{Verdict: VerdictDone, State: string(state)})
+				} else {
+					verdict(VerdictUnknownJob)()
+				}
+			})
 		case state == "":
 			verdict(VerdictUndecided)()
 		default:
--- a/leader/term.go
+++ b/leader/term.go
@@ -22,15 +22,16 @@
 // Intervals of a term.
 const (
 	tickEvery     = 25 * time.Millisecond
-	commitGap     = 10 * time.Millisecond // between the starts of two batches
-	confirmEvery  = 2 * time.Second       // without a batch, one is stored to prove the term
-	storeLostWhen = time.Second           // a batch unanswered for so long: new work is refused
-	freshWithin   = time.Second           // a count may be as old as this
-	makeWayAfter  = time.Second           // of a link to a nearer process
-	farewell      = 20 * time.Millisecond // for the last frames to leave
+	commitGap     = 10 * time.Millisecond  // between the starts of two batches
+	confirmEvery  = 400 * time.Millisecond // without a batch, one is stored to prove that the leader lives
+	storeLostWhen = time.Second            // a batch unanswered for so long: new work is refused
+	freshWithin   = time.Second            // a count may be as old as this
+	makeWayAfter  = time.Second            // of a link to a nearer process
+	farewell      = 20 * time.Millisecond  // for the last frames to leave
 )
 
 type term struct {
+	ctx     context.Context // ends with the term
 	leader  *Leader
 	cancel  context.CancelFunc
 	logger  *zap.Logger
@@ -62,14 +63,14 @@
 }
 
 // run leads until the term is over and returns the reason.
-func (t *term) run(ctx context.Context) string {
+func (t *term) run(ctx context.Context, last lastClaim) string {
 	s := t.leader.settings
 	begun := time.Now()
-	epoch, records, err := claim(ctx, t.leader.deps.Store, s.Node, s.Boot)
+	epoch, records, err := claim(ctx, t.leader.deps.Store, last, s.Node, s.Boot)
 	if err != nil {
 		return t.endReason(err.Error())
 	}
-	t.epoch, t.sequence = epoch, firstSequence
+	t.epoch, t.sequence, t.ctx = epoch, firstSequence, ctx
 	now := time.Now()
 	t.planner = planner.New(s.Planner, epoch, now)
 	for _, fault := range t.planner.Restore(now, records) {
@@ -97,6 +98,7 @@
 	go t.leader.deps.Members.Follow(ctx, func(members []Member) {
 		t.post(func(time.Time) { t.setMembers(ctx, members) })
 	})
+	go t.followInbox(ctx)
 	<-ctx.Done()
 	t.leading.Store(false)
 	_ = control.Stop(context.Background()) // waits for the function that runs now
--- a/messenger/attachment.go
+++ b/messenger/attachment.go
@@ -22,6 +22,7 @@
 	epoch int64
 	link  *Link
 	links map[*Link]bool
+	stuck time.Time // since when the store doesn't answer the leader; zero while it does
 	lost  time.Time // when the last leader's link ended, or this side began
 }
 
@@ -66,9 +67,7 @@
 			attached = a.greet(l, body.Greeting)
 		case *wire.LinkFrame_Ping:
 			l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Pong{Pong: body.Ping}})
-			if body.Ping.Leaving {
-				a.leaderLeaves(l)
-			}
+			a.notice(l, body.Ping)
 		default:
 			if attached {
 				a.handler.Frame(l, f)
@@ -93,7 +92,7 @@
 	if ok {
 		a.epoch = g.Epoch
 		if a.link != l {
-			former, a.link = a.link, l
+			former, a.link, a.stuck = a.link, l, time.Time{}
 		}
 	}
 	l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Introduction{Introduction: &wire.Introduction{Node: a.node, Role: a.role, HighestEpoch: a.epoch}}})
@@ -107,14 +106,21 @@
 	return ok
 }
 
-// leaderNotice is how long a leader that says that it leaves counts as quiet.
+// leaderNotice is how long a leader that says that it leaves, or that the store
+// doesn't answer it, counts as quiet at once.
 const leaderNotice = time.Second
 
-func (a *Attachment) leaderLeaves(l *Link) {
+func (a *Attachment) notice(l *Link, p *wire.Ping) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.link == l {
+	switch {
+	case a.link != l:
+	case p.Leaving:
 		a.link, a.lost = nil, time.Now().Add(-leaderNotice)
+	case !p.Stuck:
+		a.stuck = time.Time{}
+	case a.stuck.IsZero():
+		a.stuck = time.Now().Add(-leaderNotice)
 	}
 }
 
@@ -125,10 +131,13 @@
 	return a.link
 }
 
-// Quiet returns the time since the last word of a leader.
+// Quiet returns the time since the last word of a leader that can lead.
 func (a *Attachment) Quiet() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.link != nil && !a.stuck.IsZero() {
+		return time.Since(a.stuck)
+	}
 	if a.link != nil {
 		return a.link.Silent()
 	}
--- a/store.go
+++ b/store.go
@@ -56,12 +56,6 @@
 	Lost    bool   // older records are gone; the newest of each key must be read
 }
 
-// MembershipStatus is the store's answer to a member of a group.
-type MembershipStatus struct {
-	Generation int64
-	Chosen     bool // this member holds the group's one place
-}
-
 // Store is the platform's store. All errors mean that the answer is unknown or
 // that nothing was done; reads have no effect.
 type Store interface {
@@ -75,10 +69,6 @@
 	Newest(ctx context.Context, topic Topic, after string) (KeyedPage, error)
 	// Tail waits for records from an offset on, at most for the given time.
 	Tail(ctx context.Context, topic Topic, from Offset, wait time.Duration) (KeyedTail, error)
-	// Join keeps a member in a group of which one member is chosen.
-	Join(ctx context.Context, group, member string, generation int64, ttl time.Duration) (MembershipStatus, error)
-	// Leave takes a member out of a group.
-	Leave(ctx context.Context, group, member string) error
 }
 
 // WorkerClient gives orders to one worker.
