--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -18,6 +18,7 @@
 	"persimmonvalve/internal/logfield"
 	"persimmonvalve/internal/meter"
 	"persimmonvalve/leader"
+	"persimmonvalve/messenger"
 	"persimmonvalve/planner"
 	"persimmonvalve/platform"
 	"persimmonvalve/runner"
@@ -67,12 +68,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	boot := uuid.Must(uuid.NewV7()).String()
-	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot, Candidate: true}, logger)
 	plan := planner.DefaultSettings()
 	plan.KeepEnded = s.KeepEnded + keepMargin
 	g := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
+	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot, Candidate: true}, g.Quiet, logger)
 	lead := leader.New(leader.Settings{Node: s.Node, Boot: boot, Planner: plan}, leader.Dependencies{
-		Store: store, Members: members, Quiet: g.Quiet, Logger: logger, Registry: registry,
+		Store: store, Members: members, Quiet: g.Quiet, Dial: messenger.DialTCP, Clock: leader.SinceBoot, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfiguration(ctx, store, logger, lead.SetQueues)
 	front := runner.ServeHTTP(listeners[s.FrontAddress], platform.NewFront(config, g, logger), logger)
--- a/demonstrator/fuzz_test.go
+++ b/demonstrator/fuzz_test.go
@@ -17,6 +17,7 @@
 	"persimmonvalve/entry"
 	"persimmonvalve/internal/apigen"
 	"persimmonvalve/internal/fuzz"
+	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/standin"
 )
 
@@ -143,7 +144,7 @@
 		s.backend.cut = st.kind == "cut answers" && st.n%2 == 0
 		s.backend.mu.Unlock()
 	case "cut sessions":
-		s.network.cut()
+		s.network.Cut()
 	case "worker down":
 		_ = s.workers.SetFaults(pv.WorkerID(fmt.Sprintf("w%d", st.n%3)), standin.WorkerFaults{Down: st.n%2 == 0, Crash: st.n == 5})
 	}
@@ -279,7 +280,7 @@
 		{"an endpoint refuses what it ran", mutation{idempotent: "false", lyingEndpoint: true}, "told it was not run"},
 	}
 	for _, m := range mutants {
-		bubble(t, func(t *testing.T) {
+		pipenet.Bubble(t, func(t *testing.T) {
 			scripts := 0
 			caught, text := fuzz.Caught(func(rt *rapid.T) {
 				scripts++
@@ -305,7 +306,7 @@
 func TestSiteUnderFaults(t *testing.T) {
 	fuzz.Checks(scriptChecks)
 	totals := map[string]int{}
-	bubble(t, func(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
 		failed, text := fuzz.Caught(func(rt *rapid.T) {
 			if broken := runScript(drawScript(rt), sound, totals); len(broken) > 0 {
 				rt.Fatalf("%s", strings.Join(broken, "\n"))
@@ -326,7 +327,7 @@
 		script = append(script, step{kind: "crash agent", n: i, wait: time.Second})
 	}
 	script = append(script, step{kind: "submit", n: 2, wait: time.Second})
-	bubble(t, func(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
 		if broken := runScript(script, sound, map[string]int{}); len(broken) > 0 {
 			t.Error(strings.Join(broken, "\n"))
 		}
@@ -350,7 +351,7 @@
 // entries then asked the former holder until the next announcement, minutes
 // later.
 func TestLostAnnouncementIsRepeated(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
 		s := newMemorySite(0, 0, 1)
 		log := &deafLog{Log: s.log, from: time.Now().Add(500 * time.Millisecond), until: time.Now().Add(5 * time.Second)}
 		a := s.newAgentOn(log)
--- a/demonstrator/memory_test.go
+++ b/demonstrator/memory_test.go
@@ -8,13 +8,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
-	"runtime"
 	"strings"
 	"sync"
-	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,96 +20,12 @@
 	"persimmonvalve/agent"
 	"persimmonvalve/entry"
 	"persimmonvalve/internal/apigen"
+	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/messenger"
 	"persimmonvalve/partitioner"
 	"persimmonvalve/standin"
 )
 
-// bubble runs a test under its own paused clock. The session library pools its
-// timers for the whole process, and one of an earlier bubble can't be used in a
-// later; two collections empty the pool.
-func bubble(t *testing.T, f func(*testing.T)) {
-	t.Helper()
-	runtime.GC()
-	runtime.GC()
-	synctest.Test(t, f)
-}
-
-// network connects processes by pipes.
-type network struct {
-	mu        sync.Mutex
-	listeners map[netip.AddrPort]*listener
-	conns     []net.Conn
-	next      uint16
-}
-
-type listener struct {
-	n       *network
-	address netip.AddrPort
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (n *network) listen() *listener {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.next++
-	l := &listener{
-		n: n, address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), n.next),
-		conns: make(chan net.Conn), closed: make(chan struct{}),
-	}
-	n.listeners[l.address] = l
-	return l
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
-
-func (n *network) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	n.mu.Lock()
-	l, ok := n.listeners[address]
-	n.mu.Unlock()
-	if !ok {
-		return nil, errors.New("no such address")
-	}
-	near, far := net.Pipe()
-	select {
-	case l.conns <- far:
-	case <-l.closed:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	n.mu.Lock()
-	n.conns = append(n.conns, near)
-	n.mu.Unlock()
-	return near, nil
-}
-
-// cut breaks all connections; processes connect again.
-func (n *network) cut() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range n.conns {
-		_ = c.Close()
-	}
-	n.conns = nil
-}
-
 // backend is an endpoint that counts what ran, by request id and by body.
 type backend struct {
 	mu     sync.Mutex
@@ -167,7 +79,7 @@
 
 // memorySite is a site over a network in memory.
 type memorySite struct {
-	network *network
+	network *pipenet.Network
 	layout  partitioner.Layout
 	log     *standin.Log
 	workers *standin.Workers
@@ -183,7 +95,7 @@
 
 func newMemorySite(agents, entries, workers int) *memorySite {
 	s := &memorySite{
-		network: &network{listeners: map[netip.AddrPort]*listener{}},
+		network: pipenet.New(),
 		layout:  partitioner.Layout{Homes: 2, Zones: []string{"a"}, CellsPerZone: 1},
 		log:     standin.NewLog(),
 		workers: standin.NewWorkers(),
@@ -213,9 +125,9 @@
 func (s *memorySite) newAgent() *agent.Agent { return s.newAgentOn(s.log) }
 
 func (s *memorySite) newAgentOn(log pv.Log) *agent.Agent {
-	l := s.network.listen()
+	l := s.network.Listen("agent")
 	site := &Site{Options: DefaultOptions(), Layout: s.layout}
-	settings := site.agentSettings(s.member(pv.RoleAgent, "cordPath", l.address))
+	settings := site.agentSettings(s.member(pv.RoleAgent, "cordPath", l.Address()))
 	settings.Slots = memorySlots
 	settings.Connections = 2 * memorySlots
 	settings.Tick = 50 * time.Millisecond
@@ -240,7 +152,7 @@
 	settings.FleetPoll = time.Second
 	settings.AccountsEvery = time.Second
 	return entry.New(settings, entry.Dependencies{
-		Log: s.log, Fleet: s.workers, Client: messenger.NewClientWith(s.network.dial),
+		Log: s.log, Fleet: s.workers, Client: messenger.NewClientWith(s.network.Dialer("entry")),
 		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(), Random: rand.New(rand.NewPCG(7, uint64(s.started))),
 	})
 }
@@ -267,5 +179,5 @@
 	for _, a := range s.agents {
 		a.Abort()
 	}
-	s.network.cut()
+	s.network.Cut()
 }
--- a/demonstrator/takeover_test.go
+++ b/demonstrator/takeover_test.go
@@ -7,12 +7,13 @@
 
 	"persimmonvalve/agent"
 	"persimmonvalve/internal/apigen"
+	"persimmonvalve/internal/pipenet"
 )
 
 // A holder's death stops no running task, and its successor starts waiting work
 // after the silence, well before a lease would have ended.
 func TestTakeoverStopsNothing(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
 		defer cancel()
 		s := newMemorySite(0, 1, 3)
--- /dev/null
+++ b/gateway/seeds_test.go
@@ -0,0 +1,29 @@
+package gateway_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+)
+
+// Defaults of a run in CI.
+const (
+	defaultSeed = 1
+	defaultRuns = 25
+)
+
+func siteSeeds(t *testing.T) (first, runs uint64) {
+	t.Helper()
+	read := func(name string, fallback uint64) uint64 {
+		text := os.Getenv(name)
+		if text == "" {
+			return fallback
+		}
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		return n
+	}
+	return read("PVALVE_SITE_SEED", defaultSeed), read("PVALVE_SITE_RUNS", defaultRuns)
+}
--- a/job.go
+++ b/job.go
@@ -195,6 +195,7 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	First      bool // no order to start this run was sent before
 	// What the agent needs beside the worker to share its cores fairly.
 	Filler        bool
 	LatencyTarget time.Duration
@@ -222,4 +223,5 @@
 	StartOtherLife StartAnswer = "otherLife" // another worker answers there
 	StartInvalid   StartAnswer = "invalid"
 	StartUnknown   StartAnswer = "unknown"
+	StartNotSent   StartAnswer = "notSent" // the order never left this process
 )
--- a/leader/directory.go
+++ b/leader/directory.go
@@ -21,6 +21,7 @@
 	measureCalls             = 3                      // the first one also opens a connection
 	announcePause            = 200 * time.Millisecond // between tries, doubled up to announceSlow
 	announceSlow             = 2 * time.Second
+	announceAgain            = 3 * time.Second // without word of a leader; longer than a change of leader
 	tailWait                 = 5 * time.Second // of one read; a silent connection is noticed after it
 	tailSlack                = time.Second     // for the answer to come back
 )
@@ -51,8 +52,10 @@
 	}
 }
 
-// NewDirectory starts to announce a process, until the context ends.
-func NewDirectory(ctx context.Context, store pv.Store, self Member, logger *zap.Logger) *Directory {
+// NewDirectory starts to announce a process, until the context ends. It does so
+// again whenever no leader has been heard for a while: an announcement of a
+// former life may have been carried out late and stand in the place of this one.
+func NewDirectory(ctx context.Context, store pv.Store, self Member, quiet func() time.Duration, logger *zap.Logger) *Directory {
 	d := &Directory{store: store, logger: logger}
 	go func() {
 		d.measure(ctx)
@@ -61,29 +64,45 @@
 		if err != nil {
 			panic(Error.Wrap(err)) // a member holds nothing that can't be encoded
 		}
-		wait := announcePause
-		for {
-			call, cancel := context.WithTimeout(ctx, announceTimeout)
-			err := store.Put(call, membersTopic, []pv.KeyedRecord{{Key: self.Node, Value: value}})
-			cancel()
-			if err == nil {
-				logger.Info("directory: announced", zap.String("node", self.Node), zap.Stringer("address", self.Address))
+		for ctx.Err() == nil {
+			if !d.announce(ctx, pv.KeyedRecord{Key: self.Node, Value: value}) {
 				return
 			}
-			if wait == announcePause {
-				logger.Warn("directory: not announced yet", logfield.Error(err))
-			}
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-				return
+			logger.Info("directory: announced", zap.Stringer("address", self.Address), zap.Bool("near", self.Near))
+			for since := time.Now(); quiet() < announceAgain || time.Since(since) < announceAgain; {
+				select {
+				case <-time.After(announceSlow):
+				case <-ctx.Done():
+					return
+				}
 			}
-			wait = min(2*wait, announceSlow)
 		}
 	}()
 	return d
 }
 
+// announce writes the record, and reports false when the context ended first.
+func (d *Directory) announce(ctx context.Context, record pv.KeyedRecord) bool {
+	wait := announcePause
+	for {
+		call, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := d.store.Put(call, membersTopic, []pv.KeyedRecord{record})
+		cancel()
+		if err == nil {
+			return true
+		}
+		if wait == announcePause && ctx.Err() == nil {
+			d.logger.Warn("directory: not announced yet", logfield.Error(err))
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return false
+		}
+		wait = min(2*wait, announceSlow)
+	}
+}
+
 // Follow calls changed with all members whenever one changes, until the
 // context ends.
 func (d *Directory) Follow(ctx context.Context, changed func([]Member)) {
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -23,6 +23,9 @@
 const (
 	inboxJob    = "job/"
 	inboxCancel = "cancel/"
+	// inboxWait is the longest wait of one read. A read that hangs delays
+	// cancellations by it and tailSlack, and these have 3 s to take effect.
+	inboxWait = 500 * time.Millisecond
 )
 
 type inboxRecord struct {
@@ -46,6 +49,7 @@
 	store := t.leader.deps.Store
 	for ctx.Err() == nil {
 		from := pv.Offset(-1)
+		begun := t.leader.deps.Clock()
 		var records []pv.KeyedRecord
 		for after, more := "", true; more; {
 			page, err := newest(ctx, store, InboxTopic, after)
@@ -58,10 +62,14 @@
 			records = append(records, page.Records...)
 			after, more = page.Last, page.More
 		}
-		t.post(func(now time.Time) { t.takeInbox(ctx, now, records) })
+		t.post(func(now time.Time) {
+			t.takeInbox(ctx, now, records)
+			t.inboxRead = begun
+		})
 		for ctx.Err() == nil {
-			call, cancel := context.WithTimeout(ctx, tailWait+tailSlack)
-			tail, err := store.Tail(call, InboxTopic, from, tailWait)
+			begun := t.leader.deps.Clock()
+			call, cancel := context.WithTimeout(ctx, inboxWait+tailSlack)
+			tail, err := store.Tail(call, InboxTopic, from, inboxWait)
 			cancel()
 			if err != nil {
 				if pause(ctx, err) != nil {
@@ -73,9 +81,10 @@
 				break
 			}
 			from = tail.End
-			if len(tail.Records) > 0 {
-				t.post(func(now time.Time) { t.takeInbox(ctx, now, tail.Records) })
-			}
+			t.post(func(now time.Time) {
+				t.takeInbox(ctx, now, tail.Records)
+				t.inboxRead = begun
+			})
 		}
 	}
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -18,6 +18,7 @@
 
 	pv "persimmonvalve"
 	"persimmonvalve/internal/logfield"
+	"persimmonvalve/messenger"
 	"persimmonvalve/planner"
 )
 
@@ -58,6 +59,8 @@
 	Store    pv.Store
 	Members  *Directory
 	Quiet    func() time.Duration // time since the last word of a leader
+	Dial     messenger.DialFunc   // of links
+	Clock    func() time.Duration // goes on while the machine is suspended; see SinceBoot
 	Logger   *zap.Logger
 	Registry prometheus.Registerer
 }
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -63,7 +63,7 @@
 // the peer answered.
 func (p *peer) serve(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, dialTimeout)
-	link, err := messenger.Dial(call, p.member.Address)
+	link, err := messenger.OpenLink(call, p.term.leader.deps.Dial, p.member.Address)
 	cancel()
 	if err != nil {
 		return false // a peer that was never linked is tried again quietly
@@ -141,9 +141,9 @@
 		p.worker = report.Worker.ID
 		p.term.planner.Connect(now, p.worker)
 	}
-	out := planner.Report{Worker: report.Worker, Departed: report.Departed}
+	out := planner.Report{Worker: report.Worker, Departed: report.Departed, Token: report.Token, Gone: report.Gone}
 	if report.Looked {
-		out.Look = &planner.Look{Token: report.Token, Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, Gone: report.Gone, EndsAfter: report.EndsAfter, FillerPace: report.FillerPace}
+		out.Look = &planner.Look{Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, EndsAfter: report.EndsAfter, FillerPace: report.FillerPace}
 	}
 	p.term.planner.Report(now, out)
 	p.term.sendOrdersTo(now, p)
@@ -205,7 +205,7 @@
 	case QuestionPending:
 		queue := q.Queue
 		count := func() { answer(&wire.Reply{Verdict: VerdictDone, Pending: t.planner.Pending(queue)}) }
-		if sinceBoot()-t.confirmed < freshWithin {
+		if t.leader.deps.Clock()-t.confirmed < freshWithin {
 			count()
 		} else {
 			t.waiting = append(t.waiting, count)
--- a/leader/storing.go
+++ b/leader/storing.go
@@ -24,8 +24,8 @@
 	refusedPause = 100 * time.Millisecond
 )
 
-// sinceBoot is a clock that goes on while the machine is suspended.
-func sinceBoot() time.Duration {
+// SinceBoot is a clock that goes on while the machine is suspended.
+func SinceBoot() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
 		panic(Error.Wrap(err)) // the clock exists on every kernel that Go supports
--- a/leader/term.go
+++ b/leader/term.go
@@ -46,6 +46,8 @@
 	links     map[string]*peer // by node
 	confirmed time.Duration    // clock reading at the start of the last stored batch
 
+	inboxRead time.Duration // clock reading at the start of the last reading of the inbox
+
 	committing  bool
 	commitStart time.Time
 	sequence    int64
@@ -80,7 +82,8 @@
 	t.planner.SetQueues(t.leader.queues)
 	t.leader.mu.Unlock()
 	t.links = map[string]*peer{}
-	t.confirmed = sinceBoot()
+	t.confirmed = t.leader.deps.Clock()
+	t.inboxRead = t.confirmed - inboxFresh // not read yet
 	t.commitStart = now
 	t.batches = make(chan *batch, 1)
 	active, kept := t.planner.Jobs()
@@ -174,9 +177,15 @@
 }
 
 func (t *term) mayGrant() bool {
-	return sinceBoot()-t.confirmed < t.leader.settings.Planner.Authority()
+	return t.leader.deps.Clock()-t.confirmed < t.leader.settings.Planner.Authority()
 }
 
+// inboxFresh is the age of the inbox's last reading at which starts wait: a
+// cancellation in it has 3 s to take effect.
+const inboxFresh = 1800 * time.Millisecond
+
+func (t *term) mayStart() bool { return t.leader.deps.Clock()-t.inboxRead < inboxFresh }
+
 func (t *term) sendOrders(now time.Time) {
 	for _, p := range t.links {
 		t.sendOrdersTo(now, p)
@@ -187,7 +196,7 @@
 	if p.link == nil || p.worker == "" {
 		return
 	}
-	if o, ok := t.planner.Orders(now, p.worker, t.mayGrant()); ok {
+	if o, ok := t.planner.Orders(now, p.worker, planner.Rights{Grant: t.mayGrant(), Start: t.mayStart()}); ok {
 		p.link.Send(ordersFrame(o))
 	}
 }
@@ -207,7 +216,7 @@
 	if plan == nil && len(t.waiting) == 0 && !t.barrier {
 		return
 	}
-	b := &batch{plan: plan, waiting: t.waiting, start: sinceBoot()}
+	b := &batch{plan: plan, waiting: t.waiting, start: t.leader.deps.Clock()}
 	if plan != nil {
 		b.records = plan.Records
 	}
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -91,7 +91,7 @@
 		Starts: mapSlice(starts, func(o pv.RunOrder) *wire.RunStart {
 			return &wire.RunStart{
 				Run: encodeRun(o.Run), Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
-				Filler: o.Filler, LatencyTargetMs: o.LatencyTarget.Milliseconds(),
+				First: o.First, Filler: o.Filler, LatencyTargetMs: o.LatencyTarget.Milliseconds(),
 			}
 		}),
 		Stops: mapSlice(stops, encodeRun),
@@ -102,7 +102,7 @@
 func DecodeStart(s *wire.RunStart) pv.RunOrder {
 	return pv.RunOrder{
 		Run: decodeRun(s.Run), Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		Filler: s.Filler, LatencyTarget: time.Duration(s.LatencyTargetMs) * time.Millisecond,
+		First: s.First, Filler: s.Filler, LatencyTarget: time.Duration(s.LatencyTargetMs) * time.Millisecond,
 	}
 }
 
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -42,10 +42,19 @@
 
 var linkBase = time.Now()
 
-// Dial opens a link.
-func Dial(ctx context.Context, address netip.AddrPort) (*Link, error) {
+// DialFunc opens a connection to another process.
+type DialFunc func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+// DialTCP opens a connection over TCP.
+func DialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	return conn, Error.Wrap(err)
+}
+
+// OpenLink opens a link.
+func OpenLink(ctx context.Context, dial DialFunc, address netip.AddrPort) (*Link, error) {
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -22,23 +22,37 @@
 // grantEvery is the longest pause between two extensions of a lease.
 const grantEvery = 400 * time.Millisecond
 
+// Rights are what a leader may do now.
+type Rights struct {
+	Grant bool // extend leases
+	Start bool // order starts; without it they wait
+}
+
 // Orders returns and forgets what the agent of a worker hasn't been told, false
-// when there is nothing. Without mayGrant no lease is extended.
-func (p *Planner) Orders(now time.Time, id pv.WorkerID, mayGrant bool) (Orders, bool) {
+// when there is nothing.
+func (p *Planner) Orders(now time.Time, id pv.WorkerID, rights Rights) (Orders, bool) {
 	w, ok := p.workers[id]
 	if !ok || !w.known || !w.connected {
 		return Orders{}, false
 	}
-	due := mayGrant && now.Sub(w.lastGrantAt) >= grantEvery
-	if !w.whole && !due && len(w.starts) == 0 && len(w.stops) == 0 && w.endAcked == w.ackSent {
+	if w.whole && !rights.Start {
+		return Orders{}, false // without the starts the agent would stop what runs
+	}
+	due := rights.Grant && now.Sub(w.lastGrantAt) >= grantEvery
+	if !w.whole && !due && (len(w.starts) == 0 || !rights.Start) && len(w.stops) == 0 && w.endAcked == w.ackSent {
 		return Orders{}, false
 	}
 	o := Orders{Worker: id, Life: w.state.Life, Acknowledged: w.endAcked, Whole: w.whole}
 	o.Authority.Token = w.token
-	if mayGrant {
+	if rights.Grant {
 		o.Authority.Until = w.grant(now, p.settings)
 	}
 	starts, stops := w.starts, w.stops
+	if rights.Start {
+		w.starts = nil
+	} else {
+		starts = nil
+	}
 	if w.whole {
 		starts, stops = nil, nil
 		for _, r := range w.runs {
@@ -52,13 +66,15 @@
 	}
 	for _, r := range starts {
 		if r.task.run == r && !r.stopping && r.life == w.state.Life {
-			o.Starts = append(o.Starts, r.order())
+			order := r.order()
+			order.First = !w.whole
+			o.Starts = append(o.Starts, order)
 		}
 	}
 	for _, r := range stops {
 		o.Stops = append(o.Stops, r.ref())
 	}
-	w.starts, w.stops, w.whole = nil, nil, false
+	w.stops, w.whole = nil, false
 	w.ackSent = w.endAcked
 	return o, true
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -207,9 +207,12 @@
 	}
 }
 
-// loseRuns ends all runs of a worker that provably runs nothing.
+// loseRuns ends all runs of a worker that provably runs nothing. Its agent may
+// still hold orders to start them, and is told to drop these before, or with,
+// the next extension of the lease.
 func (p *Planner) loseRuns(now time.Time, w *worker, reason string) {
 	for _, r := range w.runs {
+		w.stops = append(w.stops, r)
 		p.finishRun(now, r, pv.EndVanish, "", reason)
 	}
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -10,11 +10,9 @@
 
 // Look is the part of a report that comes from a look at the worker.
 type Look struct {
-	Token   int64 // under which the worker answered
 	Clock   time.Duration
 	Running []pv.RunStatus
 	Ended   []pv.RunEnd // that aren't acknowledged
-	Gone    []pv.RunRef // refused by the worker from now on, and not on it
 	// FillerPace is the percentage at which fillers may work there.
 	FillerPace int
 	// EndsAfter is the number after which Ended holds every listed end.
@@ -25,7 +23,9 @@
 type Report struct {
 	Worker   pv.WorkerState
 	Departed bool // the worker said goodbye
-	Look     *Look
+	Token    int64
+	Gone     []pv.RunRef // not on the worker, and never to begin there under the token or an earlier one
+	Look     *Look       // nil when the worker didn't answer under the token
 }
 
 // Connect tells that the agent of a worker has a link to this leader.
@@ -62,9 +62,17 @@
 		w.departed = now
 		p.event(Event{Text: "worker departed", Worker: r.Worker.ID, Life: r.Worker.Life})
 	}
-	if r.Look != nil && r.Look.Token == w.token {
+	if r.Token != w.token {
+		return // the agent has yet to hear of the token of this leader and life
+	}
+	if r.Look != nil {
 		p.look(now, w, r.Look)
 	}
+	for _, g := range r.Gone {
+		if r, ok := w.runs[g]; ok && r.life == w.state.Life {
+			p.finishRun(now, r, pv.EndVanish, "", "neverStarted")
+		}
+	}
 }
 
 func (p *Planner) look(now time.Time, w *worker, l *Look) {
@@ -92,11 +100,6 @@
 		}
 		p.observe(now, r, s)
 	}
-	for _, g := range l.Gone {
-		if r, ok := w.runs[g]; ok && r.life == w.state.Life {
-			p.finishRun(now, r, pv.EndVanish, "", "neverStarted")
-		}
-	}
 	if w.fenced {
 		return
 	}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -88,19 +88,24 @@
 	return now.After(w.clockAt.Add(s.stretch(w.lastGrant-w.clock) + s.LapseSlack))
 }
 
+// leastLease is what must be left of a worker's lease for it to get new runs.
+const leastLease = time.Second
+
 // usable reports whether the worker may get new runs.
 func (w *worker) usable(now time.Time, s Settings) bool {
 	return w.fenced && w.connected && !w.state.Leaving && w.departed.IsZero() &&
-		now.Sub(w.clockAt) < s.FreshFor && !now.Before(w.quarantine)
+		now.Sub(w.clockAt) < s.FreshFor && !now.Before(w.quarantine) &&
+		w.lastGrant > w.clock+now.Sub(w.clockAt)+leastLease
 }
 
-// grant returns the reading of the worker's clock until which it may go on.
+// grant returns the reading of the worker's clock until which it may go on. It
+// rests on the last reading alone: a worker that isn't heard any more must lapse,
+// however long its agent is.
 func (w *worker) grant(now time.Time, s Settings) time.Duration {
 	if w.clockAt.IsZero() {
 		return 0
 	}
-	passed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - s.ClockDrift))
-	until := w.clock + passed + s.Grant
+	until := w.clock + s.Grant
 	w.lastGrant = max(w.lastGrant, until)
 	w.lastGrantAt = now
 	return until
--- a/supervisor/looking.go
+++ b/supervisor/looking.go
@@ -49,6 +49,8 @@
 			v.idle(ctx, tickEvery)
 		case open:
 			v.idle(ctx, ackWait) // unacknowledged ends would be answered again at once
+		case q.wait == 0:
+			v.idle(ctx, nextLookAfter)
 		}
 	}
 }
@@ -74,8 +76,11 @@
 	}
 	v.lookNumber++
 	q := lookRequest{worker: v.state.ID, life: v.life, authority: v.authority, acknowledged: v.ackedEnds, wait: lookWait, number: v.lookNumber, ok: true}
+	if v.inDoubt() {
+		q.acknowledged = 0 // a new life would forget ends that nobody has seen
+	}
 	for _, r := range v.runs {
-		if r.phase == closed || r.phase == started && !r.listed {
+		if v.canReport() && (r.phase == closed || r.phase == started && !r.listed) {
 			q.wait = 0 // what became of it is worth knowing now
 			break
 		}
@@ -83,6 +88,16 @@
 	return q
 }
 
+// doubt notes that a call failed: the worker may be in another life by now.
+// Until a look that begins later shows its life, it gets no starts and no
+// acknowledgements, whose numbers would mean other ends there.
+func (v *Supervisor) doubt() { v.doubted = max(v.lookNumber, 1) }
+
+func (v *Supervisor) inDoubt() bool { return v.doubted > 0 }
+
+// canReport reports whether a leader can be told of the worker.
+func (v *Supervisor) canReport() bool { return v.link != nil && v.beat }
+
 // looked takes in what the worker answered and reports it. It returns whether
 // ends are listed that aren't acknowledged yet.
 func (v *Supervisor) looked(q lookRequest, runs pv.WorkerRuns, err error) bool {
@@ -95,6 +110,7 @@
 			v.logger.Warn("supervisor: worker lost", zap.String("worker", string(q.worker)), zap.Int64("life", q.life), logfield.Error(err))
 		}
 		v.metrics.looksLost.Inc()
+		v.doubt()
 		return false
 	}
 	if v.lookLost {
@@ -110,12 +126,16 @@
 		return false
 	}
 	now := time.Now()
+	v.lookedAt = now
+	if q.number > v.doubted {
+		v.doubted = 0
+	}
 	out := messenger.Report{Worker: v.state, Departed: v.departed, Looked: true, Token: q.authority.Token, FillerPace: v.pacer.pace}
 	out.Runs = pv.WorkerRuns{Life: runs.Life, Clock: runs.Clock}
 	present := make(map[pv.RunRef]bool, len(runs.Running)+len(runs.Ended))
 	// Only a look under the leader's newest authority may take ends off the list
 	// of those to report: the leader ignores others.
-	news, heard := false, v.link != nil && v.beat && q.authority.Token == v.authority.Token
+	news, heard := false, v.canReport() && q.authority.Token == v.authority.Token
 	out.EndsAfter = v.reported
 	for _, e := range runs.Ended {
 		present[e.Run] = true
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -37,6 +37,7 @@
 	callAt   time.Time // earliest next call
 	listed   bool      // a look listed it
 	reported bool      // the leader was told that it is listed
+	sent     bool      // a start may have reached the worker
 }
 
 // call is one start or stop to be made.
@@ -64,11 +65,11 @@
 		v.reported = 0
 		v.wakeLook()
 	}
-	v.authority.Token, v.life = o.Token, o.Life
-	v.authority.Until = max(v.authority.Until, time.Duration(o.UntilMs)*time.Millisecond)
-	if o.UntilMs > 0 && o.Whole {
-		v.authority.Until = time.Duration(o.UntilMs) * time.Millisecond
+	until := time.Duration(o.UntilMs) * time.Millisecond
+	if o.Token == v.authority.Token && o.Life == v.life {
+		until = max(until, v.authority.Until)
 	}
+	v.authority, v.life = pv.Authority{Token: o.Token, Until: until}, o.Life
 	if o.Acknowledged > v.ackedEnds || o.Whole {
 		v.ackedEnds = o.Acknowledged
 		v.wakeLook()
@@ -111,6 +112,30 @@
 	v.logger.Info("supervisor: run closes", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.String("reason", reason), zap.Int64("token", v.authority.Token))
 }
 
+// startFresh is the age of a look at which no start is sent on its strength.
+const startFresh = 1200 * time.Millisecond
+
+// mayStart reports whether a start may be sent. A worker that isn't heard may be
+// reborn at any moment and would take the order in its new life, after the
+// leader has given its lease up. A first order that
+// never left is given back.
+func (v *Supervisor) mayStart(now time.Time, r *order) bool {
+	if v.authority.Until == 0 || v.lookedAt.IsZero() {
+		return false // the worker's clock isn't known yet
+	}
+	if now.Sub(v.lookedAt) < startFresh {
+		return !v.inDoubt()
+	}
+	if r.order.First && !r.sent && v.canReport() {
+		ref := r.order.Run
+		delete(v.runs, ref)
+		v.metrics.closed.WithLabelValues("workerLost").Inc()
+		v.logger.Info("supervisor: run given back", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.Int64("lookAgeMs", now.Sub(v.lookedAt).Milliseconds()))
+		v.link.Send(frame(messenger.Report{Worker: v.state, Departed: v.departed, Token: v.authority.Token, Gone: []pv.RunRef{ref}}))
+	}
+	return false
+}
+
 // makeDue queues the calls that are due.
 func (v *Supervisor) makeDue(now time.Time) {
 	if v.authority.Token == 0 || v.life != v.state.Life {
@@ -123,8 +148,8 @@
 		if r.calling || r.phase == started || r.phase == closed || now.Before(r.callAt) {
 			continue
 		}
-		if r.phase == starting && v.authority.Until == 0 {
-			continue // not before the worker's clock is known to the leader
+		if r.phase == starting && !v.mayStart(now, r) {
+			continue
 		}
 		select {
 		case v.calls <- call{worker: v.state.ID, life: v.life, authority: v.authority, order: r.order, stop: r.phase == closing}:
@@ -178,10 +203,17 @@
 		v.makeDue(time.Now())
 		return // closed meanwhile
 	}
+	r.sent = r.sent || answer != pv.StartNotSent
 	switch answer {
+	case pv.StartNotSent:
+		v.doubt()
+		r.callAt = time.Now().Add(retryAfter)
 	case pv.StartAccepted:
 		r.phase, r.since = started, v.lookNumber
-	case pv.StartUnknown, pv.StartFenced, pv.StartExpired:
+	case pv.StartUnknown:
+		v.doubt()
+		r.callAt = time.Now().Add(retryAfter)
+	case pv.StartFenced, pv.StartExpired:
 		r.callAt = time.Now().Add(retryAfter)
 	default:
 		v.closeRun(c.order.Run, string(answer))
@@ -197,6 +229,7 @@
 	r.calling = false
 	if err != nil {
 		v.metrics.stopRetries.Inc()
+		v.doubt()
 		r.callAt = time.Now().Add(retryAfter)
 		return
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -30,6 +30,7 @@
 const (
 	tickEvery     = 100 * time.Millisecond
 	lookWait      = 500 * time.Millisecond // a look returns after it, or with an end
+	nextLookAfter = 20 * time.Millisecond  // the next look after one that didn't wait
 	lookSlack     = time.Second            // for a look's answer to come back
 	ackWait       = 150 * time.Millisecond // for the leader's word on reported ends
 	reportRunning = 450 * time.Millisecond // between reports of what runs
@@ -81,6 +82,8 @@
 	reported    int64 // highest end that was reported under this authority
 	reportedAt  time.Time
 	lookNumber  int64
+	doubted     int64     // number of the last look before a call failed; 0 once a later one succeeded
+	lookedAt    time.Time // when a look at this life last succeeded
 	lookLost    bool
 	pacer       pacer
 	stateToSend bool
@@ -119,6 +122,9 @@
 	return v.control.Stop(ctx)
 }
 
+// Quiet returns the time since the last word of a leader.
+func (v *Supervisor) Quiet() time.Duration { return v.attachment.Quiet() }
+
 // Linked reports whether a leader has a link to this process.
 func (v *Supervisor) Linked() bool { return v.attachment.Leader() != nil }
 
@@ -197,12 +203,13 @@
 	v.logger.Info("supervisor: worker begins", zap.String("worker", string(id)), zap.Int64("life", life), zap.Int64("formerLife", v.state.Life))
 	v.state.ID, v.state.Life = id, life
 	clear(v.runs)
-	v.reported = 0
+	v.authority = pv.Authority{} // its end was a reading of another clock
+	v.reported, v.ackedEnds, v.lookedAt = 0, 0, time.Time{}
 	v.pacer = newPacer()
 }
 
 func (v *Supervisor) sendState() {
-	if v.link == nil || !v.beat || !v.stateToSend {
+	if !v.canReport() || !v.stateToSend {
 		return
 	}
 	if v.link.Send(frame(messenger.Report{Worker: v.state, Departed: v.departed})) {
