--- a/planner/place.go
+++ b/planner/place.go
@@ -38,15 +38,18 @@
 		if full[shapeOf(c.step)] {
 			continue
 		}
+		for _, t := range c.step.tasks {
+			if t.waiting() && t.waits.IsZero() {
+				t.waits = now
+			}
+		}
 		for _, t := range c.step.tasks {
 			if !t.waiting() {
 				continue
 			}
-			if t.waits.IsZero() {
-				t.waits = now
-			}
 			w := p.choose(now, t, workers)
-			if w != nil && c.step.spec.Filler && now.Sub(t.waits) < fillerWait && w.fillerSpeed(c.step.spec.Size.MilliCores) < goodSpeed {
+			if w != nil && c.step.spec.Filler && w.fillerSpeed(c.step.spec.Size.MilliCores) < goodSpeed &&
+				(c.step.job.runs > 0 || now.Sub(t.waits) < fillerWait) {
 				break
 			}
 			if w == nil {
@@ -222,7 +225,8 @@
 // fillerSpeed estimates the share of full speed at which one more filler of
 // the given millicores would work.
 func (w *worker) fillerSpeed(size int64) float64 {
-	free := w.state.Capacity.MilliCores - w.used.MilliCores
+	idle := int64(servingIdle * float64(w.served))
+	free := w.state.Capacity.MilliCores - w.used.MilliCores + idle
 	speed := min(1, fraction(max(0, free), w.filler+size))
 	if w.serving > 0 {
 		speed *= min(servingPace, float64(w.pace)/100)
@@ -232,7 +236,8 @@
 
 // Bounds of where fillers go.
 const (
-	servingPace  = 0.7                     // of a filler beside serving tasks, at most: it may be slowed any moment
+	servingIdle  = 0.5                     // share of their cores that serving tasks leave idle on average
+	servingPace  = 1.0                     // of a filler beside serving tasks, at most: it may be slowed any moment
 	goodSpeed    = 0.75                    // a filler starts at once where it gets this
 	fillerWait   = 1200 * time.Millisecond // then it starts wherever it is fastest; it may not wait 3 s
 	moveGain     = 0.5                     // a filler that saves its progress moves for this much more speed
@@ -272,7 +277,7 @@
 	p.attach(r)
 	p.newRuns = append(p.newRuns, r)
 	p.touch(t.step.job)
-	p.event(Event{Text: "run assigned", Job: t.step.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Life: r.life, Token: w.token, Age: now.Sub(w.clockAt)})
+	p.event(Event{Text: "run assigned", Job: t.step.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Life: r.life, Token: w.token, Age: now.Sub(w.clockAt), Reason: kindOf(t.step.spec)})
 }
 
 // placeGang starts all members of a gang, or none.
@@ -311,3 +316,16 @@
 		p.assign(now, t, taken[i], attempt+1)
 	}
 }
+
+// kindOf names a step's treatment in logs and counters.
+func kindOf(s *pv.Step) string {
+	switch {
+	case s.Filler:
+		return "filler"
+	case s.Standing:
+		return "standing"
+	case s.Gang:
+		return "gang"
+	}
+	return "batch"
+}
--- a/planner/settings.go
+++ b/planner/settings.go
@@ -25,7 +25,7 @@
 // DefaultSettings returns the settings for a site with the given bounds.
 func DefaultSettings() Settings {
 	s := Settings{
-		Grant:      5 * time.Second, // a killed agent is back within it, a lost machine's tasks restart within 6 s
+		Grant:      6 * time.Second, // a killed agent is back within it, a lost machine's tasks restart within 7 s
 		ClockDrift: 0.02,            // the platform's bound
 		LapseSlack: 300 * time.Millisecond,
 		FreshFor:   2 * time.Second, // four reports
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -37,6 +37,7 @@
 	used     pv.Resources // by runs that count against the capacity
 	filler   int64        // millicores of fillers
 	serving  int          // runs with a latency target
+	served   int64        // millicores reserved for them
 	pace     int          // percentage at which fillers may work
 	endSeen  int64        // highest end that was taken in
 	endAcked int64        // highest end whose effect is stored
@@ -136,6 +137,7 @@
 	}
 	if s.LatencyTarget > 0 {
 		w.serving += int(sign)
+		w.served += sign * size.MilliCores
 	}
 	w.used = w.used.Add(size.Scale(sign, 1))
 }
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -210,6 +210,7 @@
 		r.callAt = time.Now().Add(retryAfter)
 	case pv.StartAccepted:
 		r.phase, r.since = started, v.lookNumber
+		v.paceNew(r.order)
 	case pv.StartUnknown:
 		v.doubt()
 		r.callAt = time.Now().Add(retryAfter)
--- a/supervisor/pacer.go
+++ b/supervisor/pacer.go
@@ -15,10 +15,11 @@
 // Bounds of pacing.
 const (
 	fullPace   = 100 // percent
-	cutAbove   = 0.9 // share of a target from which on fillers are slowed
-	raiseBelow = 0.7 // share of a target below which they are sped up
-	cutFactor  = 0.5
-	raiseStep  = 10 // percent for each look that waited its whole time
+	firstPace  = 30  // percent beside serving tasks, until their figures tell more
+	cutAbove   = 0.7 // share of a target from which on fillers are slowed: the figure is half a second old and rough
+	raiseBelow = 0.5 // share of a target below which they are sped up
+	cutFactor  = 0.4
+	raiseStep  = 8 // percent for each look that waited its whole time
 	paceEvery  = 400 * time.Millisecond
 	// unknownPace is no pace: the next look tells the run again.
 	unknownPace = -1
@@ -34,6 +35,14 @@
 
 func (p *pacer) forget(r pv.RunRef) { delete(p.given, r) }
 
+// settle begins anew while no fillers run.
+func (p *pacer) settle(serving bool) {
+	p.pace = fullPace
+	if serving {
+		p.pace = firstPace
+	}
+}
+
 // next returns the pace after a look whose worst share of a target is given.
 func (p *pacer) next(now time.Time, worst float64) int {
 	if now.Sub(p.at) < paceEvery {
@@ -51,13 +60,14 @@
 
 func (v *Supervisor) adjustPaces(now time.Time, running []pv.RunStatus) {
 	worst := 0.0
-	fillers := 0
+	fillers, serving := 0, 0
 	for _, s := range running {
 		r, ok := v.runs[s.Run]
 		if !ok {
 			continue
 		}
 		if target := r.order.LatencyTarget; target > 0 {
+			serving++
 			worst = max(worst, float64(s.Figure)/float64(target.Milliseconds()))
 		}
 		if r.order.Filler {
@@ -65,7 +75,7 @@
 		}
 	}
 	if fillers == 0 {
-		v.pacer.pace = fullPace
+		v.pacer.settle(serving > 0)
 		return
 	}
 	before := v.pacer.pace
@@ -94,6 +104,18 @@
 	}
 }
 
+// paceNew paces a filler that has just started, which works at full pace.
+func (v *Supervisor) paceNew(o pv.RunOrder) {
+	if !o.Filler || v.pacer.pace == fullPace {
+		return
+	}
+	select {
+	case v.calls <- call{worker: v.state.ID, life: v.life, authority: v.authority, order: o, pacing: true, pace: v.pacer.pace}:
+		v.pacer.given[o.Run] = v.pacer.pace
+	default: // the next look tells it
+	}
+}
+
 func (v *Supervisor) paced(c call, err error) {
 	if err == nil {
 		return
