--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -40,7 +40,7 @@
 
 // Shares of the grace in which a stop proceeds.
 const (
-	drainShare  = 0.5 // new calls are still answered, each closing its connection
+	drainShare  = 0.4 // new calls are still answered, each closing its connection
 	finishShare = 0.3 // calls under way are finished
 	keepMargin  = 15 * time.Second
 )
@@ -71,9 +71,9 @@
 	plan := planner.DefaultSettings()
 	plan.KeepEnded = s.KeepEnded + keepMargin
 	g := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
-	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot, Candidate: true}, g.Quiet, logger)
+	members := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, Boot: boot, Candidate: true}, g.Standing, logger)
 	lead := leader.New(leader.Settings{Node: s.Node, Boot: boot, Planner: plan}, leader.Dependencies{
-		Store: store, Members: members, Quiet: g.Quiet, Dial: messenger.DialTCP, Clock: leader.SinceBoot, Logger: logger, Registry: registry,
+		Store: store, Members: members, Standing: g.Standing, Dial: messenger.DialTCP, Clock: leader.SinceBoot, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfiguration(ctx, store, logger, lead.SetQueues)
 	front := runner.ServeHTTP(listeners[s.FrontAddress], platform.NewFront(config, g, logger), logger)
@@ -102,8 +102,9 @@
 			code = runner.ExitRefused
 		}
 	}
-	check(lead.Stop(stop))
+	lead.Retire()
 	front.Drain(stop, time.Duration(float64(s.Grace)*drainShare))
+	check(lead.Stop(stop))
 	check(front.Stop(stop))
 	check(ready.Stop(stop))
 	check(stopAdmin(stop))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,8 +104,8 @@
 // Linked reports whether a leader can be asked.
 func (g *Gateway) Linked() bool { return g.attachment.Leader() != nil }
 
-// Quiet returns the time since the last word of a leader.
-func (g *Gateway) Quiet() time.Duration { return g.attachment.Quiet() }
+// Standing returns what this process knows of the leader.
+func (g *Gateway) Standing() messenger.Standing { return g.attachment.Standing() }
 
 // Attached implements messenger.AttachmentHandler.
 func (g *Gateway) Attached(_ *messenger.Link, leader string, epoch int64) {
--- a/leader/directory.go
+++ b/leader/directory.go
@@ -13,6 +13,7 @@
 
 	pv "persimmonvalve"
 	"persimmonvalve/internal/logfield"
+	"persimmonvalve/messenger"
 )
 
 const (
@@ -55,7 +56,7 @@
 // NewDirectory starts to announce a process, until the context ends. It does so
 // again whenever no leader has been heard for a while: an announcement of a
 // former life may have been carried out late and stand in the place of this one.
-func NewDirectory(ctx context.Context, store pv.Store, self Member, quiet func() time.Duration, logger *zap.Logger) *Directory {
+func NewDirectory(ctx context.Context, store pv.Store, self Member, standing func() messenger.Standing, logger *zap.Logger) *Directory {
 	d := &Directory{store: store, logger: logger}
 	go func() {
 		d.measure(ctx)
@@ -69,7 +70,7 @@
 				return
 			}
 			logger.Info("directory: announced", zap.Stringer("address", self.Address), zap.Bool("near", self.Near))
-			for since := time.Now(); quiet() < announceAgain || time.Since(since) < announceAgain; {
+			for since := time.Now(); standing().Quiet < announceAgain || time.Since(since) < announceAgain; {
 				select {
 				case <-time.After(announceSlow):
 				case <-ctx.Done():
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -34,13 +35,23 @@
 
 // Intervals of a candidacy.
 const (
-	lookEvery  = 100 * time.Millisecond  // at whether a leader is heard
-	quietNear  = 600 * time.Millisecond  // without word of a leader: a process near the store watches; a ping and a fifth
-	quietFar   = 2 * time.Second         // the others leave it to those near the store for so long
-	stillNear  = 900 * time.Millisecond  // without an append: the term is claimed; two of a leader's and a slow store's answer
-	stillFar   = 1500 * time.Millisecond // for those far from the store
-	watchSlack = time.Second             // for the answer of a read to come back
-	stepAside  = 3 * time.Second         // a far leader that made way doesn't stand again for so long
+	lookEvery  = 50 * time.Millisecond // at whether a leader is heard
+	watchSlack = time.Second           // for the answer of a read to come back
+	stepAside  = 3 * time.Second       // a far leader that made way doesn't stand again for so long
+)
+
+// patience is how long a candidate waits at each stage. Processes far from the
+// store leave the term to those near it.
+type patience struct {
+	linkless time.Duration // without a link: the leader's process is gone, or this one is cut off
+	silent   time.Duration // with a link: more than a ping is late
+	stuck    time.Duration // the store doesn't answer the leader
+	still    time.Duration // without an append; a leader's idle time and a slow store's answer
+}
+
+var (
+	nearPatience = patience{linkless: 150 * time.Millisecond, silent: 800 * time.Millisecond, stuck: 0, still: 800 * time.Millisecond}
+	farPatience  = patience{linkless: time.Second, silent: 1600 * time.Millisecond, stuck: time.Second, still: 1200 * time.Millisecond}
 )
 
 // nearStore is the round trip to the store below which a process is in its
@@ -58,9 +69,9 @@
 type Dependencies struct {
 	Store    pv.Store
 	Members  *Directory
-	Quiet    func() time.Duration // time since the last word of a leader
-	Dial     messenger.DialFunc   // of links
-	Clock    func() time.Duration // goes on while the machine is suspended; see SinceBoot
+	Standing func() messenger.Standing // what this process knows of the leader
+	Dial     messenger.DialFunc        // of links
+	Clock    func() time.Duration      // goes on while the machine is suspended; see SinceBoot
 	Logger   *zap.Logger
 	Registry prometheus.Registerer
 }
@@ -77,6 +88,8 @@
 	queues []pv.Queue
 	cancel context.CancelFunc
 	ended  chan struct{}
+
+	retired atomic.Bool // it begins no more terms
 }
 
 // New starts a candidate.
@@ -113,21 +126,35 @@
 	aside  time.Time // not before it, after making way for a nearer process
 }
 
-func (c *candidacy) wanted() bool {
-	quiet := c.leader.deps.Quiet()
+func (c *candidacy) patience() patience {
 	if c.leader.deps.Members.Near() {
-		return quiet > quietNear
+		return nearPatience
+	}
+	return farPatience
+}
+
+// wanted reports whether it is time to watch the term.
+func (c *candidacy) wanted() bool {
+	if c.leader.retired.Load() || time.Now().Before(c.aside) {
+		return false
 	}
-	return quiet > quietFar && time.Now().After(c.aside)
+	p, s := c.patience(), c.leader.deps.Standing()
+	switch {
+	case !s.Linked:
+		return s.Quiet >= p.linkless || s.Left && c.leader.deps.Members.Near()
+	case s.Stuck:
+		return s.Quiet >= p.stuck
+	}
+	return s.Quiet >= p.silent
 }
 
 // still reports whether the leader has stopped to append. What it finds of the
 // last claim was read before it began to watch, so that a claim by another
 // candidate meanwhile makes this one fail.
 func (c *candidacy) still(ctx context.Context) bool {
-	wait := stillFar
-	if c.leader.deps.Members.Near() {
-		wait = stillNear
+	wait := c.patience().still
+	if s := c.leader.deps.Standing(); s.Left {
+		wait = 0 // it has stopped to append
 	}
 	still, err := c.watch(ctx, wait)
 	switch {
@@ -203,6 +230,10 @@
 	return t != nil && t.leading.Load()
 }
 
+// Retire lets a process that is about to stop begin no more terms. It goes on
+// leading until Stop, by when another can be ready.
+func (l *Leader) Retire() { l.retired.Store(true) }
+
 // Stop ends a term and stands no more.
 func (l *Leader) Stop(ctx context.Context) error {
 	l.cancel()
--- a/messenger/attachment.go
+++ b/messenger/attachment.go
@@ -24,6 +24,7 @@
 	links map[*Link]bool
 	stuck time.Time // since when the store doesn't answer the leader; zero while it does
 	lost  time.Time // when the last leader's link ended, or this side began
+	left  bool      // the last leader said that it leaves
 }
 
 // AttachmentHandler is told of the leader's link. Calls for one link come one
@@ -92,7 +93,7 @@
 	if ok {
 		a.epoch = g.Epoch
 		if a.link != l {
-			former, a.link, a.stuck = a.link, l, time.Time{}
+			former, a.link, a.stuck, a.left = a.link, l, time.Time{}, false
 		}
 	}
 	l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Introduction{Introduction: &wire.Introduction{Node: a.node, Role: a.role, HighestEpoch: a.epoch}}})
@@ -106,42 +107,46 @@
 	return ok
 }
 
-// leaderNotice is how long a leader that says that it leaves, or that the store
-// doesn't answer it, counts as quiet at once.
-const leaderNotice = time.Second
-
 func (a *Attachment) notice(l *Link, p *wire.Ping) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
 	case a.link != l:
 	case p.Leaving:
-		a.link, a.lost = nil, time.Now().Add(-leaderNotice)
+		a.link, a.lost, a.left = nil, time.Now(), true
 	case !p.Stuck:
 		a.stuck = time.Time{}
 	case a.stuck.IsZero():
-		a.stuck = time.Now().Add(-leaderNotice)
+		a.stuck = time.Now()
 	}
 }
 
-// Leader returns the leader's link, nil when there is none.
-func (a *Attachment) Leader() *Link {
+// Standing is what a process knows of the leader.
+type Standing struct {
+	Linked bool          // there is a link
+	Left   bool          // the last leader said that it leaves, and none came since
+	Stuck  bool          // the store doesn't answer the leader
+	Quiet  time.Duration // since the last word, the end of the link or the beginning of being stuck
+}
+
+// Standing returns what this process knows of the leader.
+func (a *Attachment) Standing() Standing {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.link
+	switch {
+	case a.link == nil:
+		return Standing{Left: a.left, Quiet: time.Since(a.lost)}
+	case !a.stuck.IsZero():
+		return Standing{Linked: true, Stuck: true, Quiet: time.Since(a.stuck)}
+	}
+	return Standing{Linked: true, Quiet: a.link.Silent()}
 }
 
-// Quiet returns the time since the last word of a leader that can lead.
-func (a *Attachment) Quiet() time.Duration {
+// Leader returns the leader's link, nil when there is none.
+func (a *Attachment) Leader() *Link {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.link != nil && !a.stuck.IsZero() {
-		return time.Since(a.stuck)
-	}
-	if a.link != nil {
-		return a.link.Silent()
-	}
-	return time.Since(a.lost)
+	return a.link
 }
 
 // Close stops accepting and ends all links.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -122,8 +122,8 @@
 	return v.control.Stop(ctx)
 }
 
-// Quiet returns the time since the last word of a leader.
-func (v *Supervisor) Quiet() time.Duration { return v.attachment.Quiet() }
+// Standing returns what this process knows of the leader.
+func (v *Supervisor) Standing() messenger.Standing { return v.attachment.Standing() }
 
 // Linked reports whether a leader has a link to this process.
 func (v *Supervisor) Linked() bool { return v.attachment.Leader() != nil }
