Learn from reports which images of fillers disturb which serving tasks

Cause: all fillers were taken to disturb alike, so harmless ones waited and harmful ones were placed beside serving tasks, and then all were paced.

Ruled out: keeping the two kinds apart alone; steps with a limit for each worker spread serving tasks over most of the fleet.

--- a/planner/place.go
+++ b/planner/place.go
@@ -48,7 +48,7 @@
 				continue
 			}
 			w := p.choose(now, t, workers)
-			if w != nil && c.step.spec.Filler && w.fillerSpeed(c.step.spec.Size.MilliCores) < goodSpeed &&
+			if w != nil && c.step.spec.Filler && p.fillerSpeed(w, c.step.spec.Image, c.step.spec.Size.MilliCores) < goodSpeed &&
 				(c.step.job.runs > 0 || now.Sub(t.waits) < fillerWait) {
 				break
 			}
@@ -68,8 +68,11 @@
 	taken := map[*worker]int64{}
 	moves := 0
 	for _, w := range workers {
-		speed := w.fillerSpeed(0)
-		if w.filler == 0 || speed > 1-moveGain {
+		if w.filler == 0 || w.serving == 0 {
+			continue
+		}
+		speed := float64(w.pace) / 100
+		if speed > 1-moveGain {
 			continue
 		}
 		for _, r := range w.runs {
@@ -78,7 +81,7 @@
 				continue
 			}
 			for _, o := range workers {
-				if o != w && o.fits(r.task) && o.fillerSpeed(taken[o]+s.spec.Size.MilliCores) > speed+moveGain {
+				if o != w && o.fits(r.task) && p.fillerSpeed(o, s.spec.Image, taken[o]+s.spec.Size.MilliCores) > speed+moveGain {
 					taken[o] += s.spec.Size.MilliCores
 					p.stop(r)
 					p.event(Event{Text: "filler moves", Job: s.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Life: r.life, Reason: "slowThere"})
@@ -190,13 +193,13 @@
 // Fillers slow serving tasks beside them, so the two are kept apart: serving
 // tasks gather on few workers, other work fills these first, and fillers get
 // the workers without serving tasks.
-func (w *worker) score(s *step) float64 {
+func (p *Planner) score(w *worker, s *step) float64 {
 	capacity := w.state.Capacity
 	used := w.used.Share(capacity)
 	score := -suspicion * float64(w.failStreak)
 	switch {
 	case s.spec.Filler:
-		score += w.fillerSpeed(s.spec.Size.MilliCores)
+		score += p.fillerSpeed(w, s.spec.Image, s.spec.Size.MilliCores)
 	case s.spec.LatencyTarget > 0:
 		score += used - fraction(w.filler, capacity.MilliCores)
 		if w.serving > 0 {
@@ -222,22 +225,17 @@
 	return score
 }
 
-// fillerSpeed estimates the share of full speed at which one more filler of
-// the given millicores would work.
-func (w *worker) fillerSpeed(size int64) float64 {
+// fillerSpeed estimates the share of full speed at which one more filler of an
+// image and size would work.
+func (p *Planner) fillerSpeed(w *worker, image string, size int64) float64 {
 	idle := int64(servingIdle * float64(w.served))
 	free := w.state.Capacity.MilliCores - w.used.MilliCores + idle
-	speed := min(1, fraction(max(0, free), w.filler+size))
-	if w.serving > 0 {
-		speed *= min(servingPace, float64(w.pace)/100)
-	}
-	return speed
+	return min(1, fraction(max(0, free), w.filler+size)) * p.pacedTo(w, image, size)
 }
 
 // Bounds of where fillers go.
 const (
 	servingIdle  = 0.5                     // share of their cores that serving tasks leave idle on average
-	servingPace  = 1.0                     // of a filler beside serving tasks, at most: it may be slowed any moment
 	goodSpeed    = 0.75                    // a filler starts at once where it gets this
 	fillerWait   = 1200 * time.Millisecond // then it starts wherever it is fastest; it may not wait 3 s
 	moveGain     = 0.5                     // a filler that saves its progress moves for this much more speed
@@ -260,7 +258,7 @@
 		if !w.fits(t) {
 			continue
 		}
-		if score := w.score(t.step); best == nil || score > most {
+		if score := p.score(w, t.step); best == nil || score > most {
 			best, most = w, score
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -41,6 +41,8 @@
 	workers  map[pv.WorkerID]*worker
 	queues   map[string]pv.Queue
 
+	interference interference
+
 	dirty     []*job
 	removed   []pv.KeyedRecord
 	newRuns   []*run
@@ -56,7 +58,7 @@
 func New(settings Settings, epoch int64, now time.Time) *Planner {
 	return &Planner{
 		settings: settings, epoch: epoch, claimed: now,
-		jobs: map[pv.JobID]*job{}, workers: map[pv.WorkerID]*worker{}, queues: map[string]pv.Queue{},
+		jobs: map[pv.JobID]*job{}, workers: map[pv.WorkerID]*worker{}, queues: map[string]pv.Queue{}, interference: newInterference(),
 	}
 }
 
--- a/planner/report.go
+++ b/planner/report.go
@@ -100,6 +100,7 @@
 		}
 		p.observe(now, r, s)
 	}
+	p.learnFrom(w, l.Running)
 	if w.fenced {
 		return
 	}
