--- a/planner/job.go
+++ b/planner/job.go
@@ -47,6 +47,7 @@
 	checkpoint string
 	run        *run
 	avoid      pv.WorkerID // where it failed last
+	moved      bool        // it was stopped to run elsewhere; once is enough
 	waits      time.Time   // since when its turn has come; zero while it runs
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -77,12 +77,14 @@
 		}
 		for _, r := range w.runs {
 			s := r.task.step
-			if !s.spec.Filler || !s.spec.Checkpoints || s.spec.Gang || r.stopping || !r.begun || now.Sub(r.started) < time.Second {
+			if !s.spec.Filler || !s.spec.Checkpoints || s.spec.Gang || r.stopping || !r.begun ||
+				r.task.moved || r.percent > movePercent || now.Sub(r.started) < moveAfter {
 				continue
 			}
 			for _, o := range workers {
 				if o != w && o.fits(r.task) && p.fillerSpeed(o, s.spec.Image, taken[o]+s.spec.Size.MilliCores) > speed+moveGain {
 					taken[o] += s.spec.Size.MilliCores
+					r.task.moved = true
 					p.stop(r)
 					p.event(Event{Text: "filler moves", Job: s.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Life: r.life, Reason: "slowThere"})
 					moves++
@@ -230,16 +232,23 @@
 func (p *Planner) fillerSpeed(w *worker, image string, size int64) float64 {
 	idle := int64(servingIdle * float64(w.served))
 	free := w.state.Capacity.MilliCores - w.used.MilliCores + idle
-	return min(1, fraction(max(0, free), w.filler+size)) * p.pacedTo(w, image, size)
+	paced := p.pacedTo(w, image, size)
+	if w.serving > 0 && w.filler > 0 {
+		paced = min(paced, float64(w.pace)/100+paceHeadroom)
+	}
+	return min(1, fraction(max(0, free), w.filler+size)) * paced
 }
 
 // Bounds of where fillers go.
 const (
+	paceHeadroom = 0.3                     // above the pace that fillers have now, since it rises slowly
 	servingIdle  = 0.5                     // share of their cores that serving tasks leave idle on average
 	goodSpeed    = 0.75                    // a filler starts at once where it gets this
 	fillerWait   = 1200 * time.Millisecond // then it starts wherever it is fastest; it may not wait 3 s
 	moveGain     = 0.5                     // a filler that saves its progress moves for this much more speed
 	movesPerPass = 4
+	moveAfter    = 1500 * time.Millisecond // of a run: its pace is known by then
+	movePercent  = 70                      // of its work, from which on it stays: resuming takes time too
 )
 
 // Weights of a score, in shares of a worker.
