--- a/planner/place.go
+++ b/planner/place.go
@@ -30,6 +30,7 @@
 		return
 	}
 	full := map[shape]bool{} // sizes that fit nowhere in this pass
+	idle := p.mostlyIdle()
 	for _, c := range p.candidates(now) {
 		if c.step.spec.Gang {
 			p.placeGang(now, c.step, workers)
@@ -49,7 +50,7 @@
 			}
 			w := p.choose(now, t, workers)
 			if w != nil && c.step.spec.Filler && p.fillerSpeed(w, c.step.spec.Image, c.step.spec.Size.MilliCores) < goodSpeed &&
-				(c.step.job.runs > 0 || now.Sub(t.waits) < fillerWait) {
+				(!idle || c.step.job.runs > 0 || now.Sub(t.waits) < fillerWait) {
 				break
 			}
 			if w == nil {
@@ -98,6 +99,17 @@
 	}
 }
 
+// mostlyIdle reports whether so little of the fleet is reserved that a job with
+// nothing running would wait beside free workers.
+func (p *Planner) mostlyIdle() bool {
+	used, capacity := int64(0), int64(0)
+	for _, w := range p.workers {
+		used += w.used.MilliCores
+		capacity += w.state.Capacity.MilliCores
+	}
+	return fraction(used, capacity) < idleShare
+}
+
 // shape is what decides whether a task fits a worker.
 type shape struct {
 	size    pv.Resources
@@ -245,6 +257,7 @@
 	servingIdle  = 0.5                     // share of their cores that serving tasks leave idle on average
 	goodSpeed    = 0.75                    // a filler starts at once where it gets this
 	fillerWait   = 1200 * time.Millisecond // then it starts wherever it is fastest; it may not wait 3 s
+	idleShare    = 0.55                    // of the fleet's cores; half counts as idle to callers
 	moveGain     = 0.5                     // a filler that saves its progress moves for this much more speed
 	movesPerPass = 4
 	moveAfter    = 1500 * time.Millisecond // of a run: its pace is known by then
