--- a/job.go
+++ b/job.go
@@ -141,12 +141,12 @@
 // The ways in which a run ends.
 const (
 	EndDone    EndKind = "done"
-	EndFailed  EndKind = "failed"  // by its own or the worker's fault
-	EndStopped EndKind = "stopped" // on an order
-	EndLapsed  EndKind = "lapsed"  // the worker's lease ran out
-	EndBroken  EndKind = "broken"  // another member of its gang ended
-	EndAlone   EndKind = "alone"   // the other members of its gang never came
-	EndVanish  EndKind = "vanished"
+	EndFailed  EndKind = "failed"   // by its own or the worker's fault
+	EndStopped EndKind = "stopped"  // on an order
+	EndLapsed  EndKind = "lapsed"   // the worker's lease ran out
+	EndBroken  EndKind = "broken"   // another member of its gang ended
+	EndAlone   EndKind = "alone"    // the other members of its gang never came
+	EndVanish  EndKind = "vanished" // it provably isn't there any more, and no end is listed
 )
 
 // RunStatus is a run that a worker lists as present.
@@ -167,18 +167,15 @@
 
 // WorkerState is what a worker says of itself in its heartbeats.
 type WorkerState struct {
-	ID         WorkerID
-	Service    string
-	Life       int64 // Unix milliseconds of its start; tells lives under one id apart
-	Place      Place
-	Labels     []string
-	Capacity   Resources
-	Guards     bool // it rejects what doesn't fit
-	Leaving    bool
-	TimeLeft   time.Duration // least time until it leaves
-	Sequence   int64         // of the heartbeat
-	ColdLeft   time.Duration
-	ReceivedAt time.Time
+	ID       WorkerID
+	Service  string
+	Life     int64 // Unix milliseconds of its start; tells lives under one id apart
+	Place    Place
+	Labels   []string
+	Capacity Resources
+	Leaving  bool
+	TimeLeft time.Duration // least time until it leaves
+	Sequence int64         // of the heartbeat
 }
 
 // WorkerRuns is a worker's answer to a look at it.
--- a/leader/directory.go
+++ b/leader/directory.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +25,7 @@
 	announcePause            = 200 * time.Millisecond // between tries, doubled up to announceSlow
 	announceSlow             = 2 * time.Second
 	announceAgain            = 3 * time.Second // without word of a leader; longer than a change of leader
-	tailWait                 = 5 * time.Second // of one read; a silent connection is noticed after it
-	tailSlack                = time.Second     // for the answer to come back
+	membersWait              = 5 * time.Second // of one read; a silent connection is noticed after it
 )
 
 // Directory announces this process and lists the others.
@@ -106,16 +107,14 @@
 
 // Follow calls changed with all members whenever one changes, until the
 // context ends.
-func (d *Directory) Follow(ctx context.Context, changed func([]Member)) {
+func (d *Directory) Follow(ctx context.Context, clock func() time.Duration, changed func([]Member)) {
 	members := map[string]Member{}
-	publish := func() {
-		out := make([]Member, 0, len(members))
-		for _, m := range members {
-			out = append(out, m)
+	follow(ctx, d.store, membersTopic, membersWait, clock, func(records []pv.KeyedRecord, first bool, _ time.Duration) {
+		if first {
+			clear(members)
+		} else if len(records) == 0 {
+			return
 		}
-		changed(out)
-	}
-	apply := func(records []pv.KeyedRecord) {
 		for _, r := range records {
 			var m Member
 			if len(r.Value) == 0 {
@@ -126,40 +125,6 @@
 				members[r.Key] = m
 			}
 		}
-	}
-	for ctx.Err() == nil {
-		from := pv.Offset(-1)
-		clear(members)
-		for after, more := "", true; more; {
-			page, err := newest(ctx, d.store, membersTopic, after)
-			if err != nil {
-				return
-			}
-			if from < 0 {
-				from = page.End
-			}
-			apply(page.Records)
-			after, more = page.Last, page.More
-		}
-		publish()
-		for ctx.Err() == nil {
-			call, cancel := context.WithTimeout(ctx, tailWait+tailSlack)
-			tail, err := d.store.Tail(call, membersTopic, from, tailWait)
-			cancel()
-			if err != nil {
-				if pause(ctx, err) != nil {
-					return
-				}
-				continue
-			}
-			if tail.Lost {
-				break
-			}
-			from = tail.End
-			if len(tail.Records) > 0 {
-				apply(tail.Records)
-				publish()
-			}
-		}
-	}
+		changed(slices.Collect(maps.Values(members)))
+	})
 }
--- a/leader/doc.go
+++ b/leader/doc.go
@@ -1,4 +1,4 @@
-// Package leader runs the planner of a site on whichever process the store's
-// group has chosen. A new leader fences its predecessors at the store, reads
+// Package leader runs the planner of a site on whichever process holds the term
+// at the store. A new leader fences its predecessors at the store, reads
 // the jobs, and opens a link to every process of the site.
 package leader
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -46,47 +46,12 @@
 
 // followInbox takes in what comes into the inbox until the term ends.
 func (t *term) followInbox(ctx context.Context) {
-	store := t.leader.deps.Store
-	for ctx.Err() == nil {
-		from := pv.Offset(-1)
-		begun := t.leader.deps.Clock()
-		var records []pv.KeyedRecord
-		for after, more := "", true; more; {
-			page, err := newest(ctx, store, InboxTopic, after)
-			if err != nil {
-				return
-			}
-			if from < 0 {
-				from = page.End
-			}
-			records = append(records, page.Records...)
-			after, more = page.Last, page.More
-		}
+	follow(ctx, t.leader.deps.Store, InboxTopic, inboxWait, t.leader.deps.Clock, func(records []pv.KeyedRecord, _ bool, begun time.Duration) {
 		t.post(func(now time.Time) {
 			t.takeInbox(ctx, now, records)
 			t.inboxRead = begun
 		})
-		for ctx.Err() == nil {
-			begun := t.leader.deps.Clock()
-			call, cancel := context.WithTimeout(ctx, inboxWait+tailSlack)
-			tail, err := store.Tail(call, InboxTopic, from, inboxWait)
-			cancel()
-			if err != nil {
-				if pause(ctx, err) != nil {
-					return
-				}
-				continue
-			}
-			if tail.Lost {
-				break
-			}
-			from = tail.End
-			t.post(func(now time.Time) {
-				t.takeInbox(ctx, now, tail.Records)
-				t.inboxRead = begun
-			})
-		}
-	}
+	})
 }
 
 // takeInbox takes in jobs before cancellations, since the newest records of
--- a/leader/term.go
+++ b/leader/term.go
@@ -74,7 +74,7 @@
 	}
 	t.epoch, t.sequence, t.ctx = epoch, firstSequence, ctx
 	now := time.Now()
-	t.planner = planner.New(s.Planner, epoch, now)
+	t.planner = planner.New(s.Planner, epoch)
 	for _, fault := range t.planner.Restore(now, records) {
 		t.logger.Error("leader: job left out", zap.Int64("epoch", epoch), logfield.Error(fault))
 	}
@@ -98,7 +98,7 @@
 		defer close(stored)
 		t.storeBatches(ctx)
 	}()
-	go t.leader.deps.Members.Follow(ctx, func(members []Member) {
+	go t.leader.deps.Members.Follow(ctx, t.leader.deps.Clock, func(members []Member) {
 		t.post(func(time.Time) { t.setMembers(ctx, members) })
 	})
 	go t.followInbox(ctx)
--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -14,7 +14,7 @@
 func crowd(t testing.TB, workers, jobs, width int) (*Planner, time.Time) {
 	t.Helper()
 	now := time.Unix(1_800_000_000, 0)
-	p := New(DefaultSettings(), 1, now)
+	p := New(DefaultSettings(), 1)
 	for i := range workers {
 		s := pv.WorkerState{ID: pv.WorkerID(fmt.Sprintf("w%03d", i)), Service: "s", Life: 1, Capacity: pv.Resources{MilliCores: 32000, MemoryMB: 128000}}
 		p.Report(now, Report{Worker: s})
--- a/planner/job.go
+++ b/planner/job.go
@@ -61,9 +61,7 @@
 	stopping  bool
 	begun     bool // seen on the worker
 	percent   int
-	moved     time.Time // when percent last rose
 	started   time.Time
-	figure    int64
 }
 
 func (r *run) ref() pv.RunRef {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,7 +35,6 @@
 type Planner struct {
 	settings Settings
 	epoch    int64
-	claimed  time.Time
 	jobs     map[pv.JobID]*job
 	active   []*job // not ended
 	workers  map[pv.WorkerID]*worker
@@ -56,9 +55,9 @@
 }
 
 // New returns a planner without jobs for the leader of an epoch.
-func New(settings Settings, epoch int64, now time.Time) *Planner {
+func New(settings Settings, epoch int64) *Planner {
 	return &Planner{
-		settings: settings, epoch: epoch, claimed: now,
+		settings: settings, epoch: epoch,
 		jobs: map[pv.JobID]*job{}, workers: map[pv.WorkerID]*worker{}, queues: map[string]pv.Queue{}, interference: newInterference(),
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -24,7 +24,7 @@
 
 func newBench(t *testing.T) *bench {
 	now := time.Unix(1_800_000_000, 0)
-	return &bench{t: t, p: New(DefaultSettings(), 1, now), now: now, clocks: map[pv.WorkerID]time.Duration{}, records: map[string][]byte{}}
+	return &bench{t: t, p: New(DefaultSettings(), 1), now: now, clocks: map[pv.WorkerID]time.Duration{}, records: map[string][]byte{}}
 }
 
 func (b *bench) worker(id string, life int64) pv.WorkerState {
@@ -91,7 +91,7 @@
 
 // successor returns a planner that took over from the stored records.
 func (b *bench) successor() *bench {
-	n := &bench{t: b.t, p: New(DefaultSettings(), b.p.epoch+1, b.now), now: b.now, clocks: b.clocks, records: b.records}
+	n := &bench{t: b.t, p: New(DefaultSettings(), b.p.epoch+1), now: b.now, clocks: b.clocks, records: b.records}
 	var records []pv.KeyedRecord
 	for k, v := range b.records {
 		records = append(records, pv.KeyedRecord{Key: k, Value: v})
--- a/planner/record.go
+++ b/planner/record.go
@@ -149,7 +149,7 @@
 		}
 		if r.Worker != "" {
 			w := p.worker(now, r.Worker)
-			ru := &run{task: t, attempt: r.Attempt, worker: w, life: r.Life, committed: true, stopping: j.state.Ended(), moved: now}
+			ru := &run{task: t, attempt: r.Attempt, worker: w, life: r.Life, committed: true, stopping: j.state.Ended()}
 			p.attach(ru)
 		}
 	}
--- a/planner/report.go
+++ b/planner/report.go
@@ -98,7 +98,7 @@
 		if !ok {
 			continue // the agent stops what isn't in its whole orders
 		}
-		p.observe(now, r, s)
+		p.observe(r, s)
 	}
 	p.learnFrom(w, l.Running)
 	if w.fenced {
@@ -117,17 +117,14 @@
 
 // observe notes the progress of a run. A run of a former life that the worker
 // lists was ordered then and carried out late: it goes on in this life.
-func (p *Planner) observe(now time.Time, r *run, s pv.RunStatus) {
+func (p *Planner) observe(r *run, s pv.RunStatus) {
 	j := r.task.step.job
 	if r.life != r.worker.state.Life {
 		r.life = r.worker.state.Life
 		p.touch(j)
 	}
 	r.begun = true
-	r.figure = s.Figure
-	if s.Percent > r.percent || r.moved.IsZero() {
-		r.percent, r.moved = s.Percent, now
-	}
+	r.percent = s.Percent
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
 	}
--- a/planner/settings.go
+++ b/planner/settings.go
@@ -16,7 +16,6 @@
 	PlaceGap   time.Duration // least time between passes over waiting tasks
 	PlaceEvery time.Duration // between passes over waiting tasks without other cause
 	Quarantine time.Duration // a worker that fails what it starts gets nothing for so long
-	HangAfter  time.Duration // a run without progress for so long is moved
 }
 
 // leaderAuthority is how long a leader that can't reach the store goes on
@@ -35,7 +34,6 @@
 		PlaceGap:   8 * time.Millisecond, // a tenth of the time to the first start; ends come in crowds
 		PlaceEvery: 100 * time.Millisecond,
 		Quarantine: 3 * time.Second,
-		HangAfter:  2500 * time.Millisecond,
 	}
 	s.OrphanWait = leaderAuthority + s.lease() + s.LapseSlack
 	return s
