--- /dev/null
+++ b/leader/claim_test.go
@@ -0,0 +1,95 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/pipenet"
+	"persimmonvalve/standin"
+)
+
+// Candidates that read the same last claim never get the same epoch, whatever
+// becomes of the store's answers.
+func TestEpochsAreTakenOnce(t *testing.T) {
+	for name, faults := range map[string]standin.KeyedFaults{
+		"sound": {}, "answers lost": {Lost: 0.5}, "done late": {Late: 0.5}, "both": {Lost: 0.3, Late: 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				store := standin.NewKeyed(7)
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+				defer cancel()
+				taken := map[int64]string{}
+				for range 10 {
+					last, err := readClaim(ctx, store.For("reader"))
+					if err != nil {
+						t.Fatal(err)
+					}
+					store.Set(faults)
+					var mu sync.Mutex
+					var candidates sync.WaitGroup
+					for _, node := range []string{"a", "b", "c"} {
+						candidates.Add(1)
+						go func() {
+							defer candidates.Done()
+							epoch, err := claimEpoch(ctx, store.For(node), last, node, "boot")
+							if err != nil {
+								return // another has it
+							}
+							mu.Lock()
+							defer mu.Unlock()
+							if other, ok := taken[epoch]; ok {
+								t.Errorf("epoch %d: got %s and %s, want one", epoch, other, node)
+							}
+							taken[epoch] = node
+						}()
+					}
+					candidates.Wait()
+					store.Set(standin.KeyedFaults{})
+					time.Sleep(10 * time.Second) // what is done late is done by then
+				}
+				if len(taken) != 10 {
+					t.Errorf("got %d epochs, want 10", len(taken))
+				}
+			})
+		})
+	}
+}
+
+// A leader whose epoch is passed can store nothing, also with an append that is
+// carried out late.
+func TestSupersededLeaderStoresNothing(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		store := standin.NewKeyed(1)
+		ctx := context.Background()
+		view := store.For("x")
+		var epochs []int64
+		for _, node := range []string{"a", "b"} {
+			last, err := readClaim(ctx, view)
+			if err != nil {
+				t.Fatal(err)
+			}
+			epoch, _, err := claim(ctx, view, last, node, "boot")
+			if err != nil {
+				t.Fatal(err)
+			}
+			epochs = append(epochs, epoch)
+		}
+		record := []pv.KeyedRecord{{Key: "state/j", Value: []byte("stale")}}
+		stale := pv.Writer{Name: writerName, Epoch: epochs[0], Sequence: firstSequence + 1}
+		if got, _, _ := view.Append(ctx, jobsTopic, stale, pv.AtAnyOffset, record); got != pv.AppendSuperseded {
+			t.Errorf("got %s, want %s", got, pv.AppendSuperseded)
+		}
+		store.Set(standin.KeyedFaults{Late: 1})
+		if got, _, _ := view.Append(ctx, jobsTopic, stale, pv.AtAnyOffset, record); got != pv.AppendUnknown {
+			t.Errorf("got %s, want %s", got, pv.AppendUnknown)
+		}
+		time.Sleep(10 * time.Second)
+		if got := store.Value(jobsTopic, "state/j"); got != nil {
+			t.Errorf("got %q stored, want nothing", got)
+		}
+	})
+}
