--- /dev/null
+++ b/internal/logfield/doc.go
@@ -0,0 +1,2 @@
+// Package logfield makes log fields that several parts share.
+package logfield
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -1,4 +1,3 @@
-// Package logfield makes log fields that several parts share.
 package logfield
 
 import "go.uber.org/zap"
--- /dev/null
+++ b/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the bytes of connections.
+package meter
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -1,4 +1,3 @@
-// Package meter counts the bytes of connections.
 package meter
 
 import (
