A claim is heard while it reads the jobs

Ruled out: the store (no call failed there); longer patience, which would delay every change of leader.

--- a/leader/claim.go
+++ b/leader/claim.go
@@ -26,6 +26,7 @@
 	termKey       = "term"
 	firstSequence = 1 // of a term's appends
 	claimTimeout  = 2 * time.Second
+	claimBeat     = 300 * time.Millisecond // between appends while the jobs are read
 	claimPause    = 100 * time.Millisecond // between tries while the store doesn't answer
 )
 
@@ -57,28 +58,55 @@
 }
 
 // claim takes the epoch after the last claim and returns it with the jobs'
-// records. It fails when another process has claimed it.
-func claim(ctx context.Context, store pv.Store, last lastClaim, node, boot string) (int64, []pv.KeyedRecord, error) {
+// records and the sequence number of its last append. It fails when another
+// process has claimed it.
+func claim(ctx context.Context, store pv.Store, last lastClaim, node, boot string) (int64, []pv.KeyedRecord, int64, error) {
 	epoch, err := claimEpoch(ctx, store, last, node, boot)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, 0, err
 	}
+	sequence := int64(firstSequence)
+	if err := appendTerm(ctx, store, epoch, sequence); err != nil {
+		return 0, nil, 0, err
+	}
+	// Many jobs take a while to read: the topic must not look still meanwhile.
+	reading, stop := context.WithCancel(ctx)
+	beaten := make(chan error, 1)
+	go func() {
+		for pauseFor(reading, claimBeat) == nil {
+			sequence++
+			if err := appendTerm(ctx, store, epoch, sequence); err != nil {
+				beaten <- err
+				return
+			}
+		}
+		beaten <- nil
+	}()
+	records, err := readAll(ctx, store, jobsTopic)
+	stop()
+	if beatErr := <-beaten; err == nil {
+		err = beatErr
+	}
+	return epoch, records, sequence, err
+}
+
+// appendTerm appends a record that only proves the term, until the store has
+// answered.
+func appendTerm(ctx context.Context, store pv.Store, epoch, sequence int64) error {
 	for {
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
-		verdict, _, err := store.Append(call, jobsTopic, pv.Writer{Name: writerName, Epoch: epoch, Sequence: firstSequence}, pv.AtAnyOffset, termRecord(epoch))
+		verdict, _, err := store.Append(call, jobsTopic, pv.Writer{Name: writerName, Epoch: epoch, Sequence: sequence}, pv.AtAnyOffset, termRecord(epoch))
 		cancel()
-		if verdict == pv.AppendDone {
-			break
-		}
-		if verdict == pv.AppendSuperseded {
-			return 0, nil, Error.New("epoch %d is superseded", epoch)
+		switch verdict {
+		case pv.AppendDone:
+			return nil
+		case pv.AppendSuperseded, pv.AppendGap:
+			return Error.New("epoch %d is superseded", epoch)
 		}
 		if err := pause(ctx, err); err != nil {
-			return 0, nil, err
+			return err
 		}
 	}
-	records, err := readAll(ctx, store, jobsTopic)
-	return epoch, records, err
 }
 
 // termRecord is what an append holds that only proves the term.
@@ -120,9 +148,11 @@
 }
 
 // pause waits before another try; the store's error is the reason to.
-func pause(ctx context.Context, _ error) error {
+func pause(ctx context.Context, _ error) error { return pauseFor(ctx, claimPause) }
+
+func pauseFor(ctx context.Context, d time.Duration) error {
 	select {
-	case <-time.After(claimPause):
+	case <-time.After(d):
 		return nil
 	case <-ctx.Done():
 		return Error.Wrap(ctx.Err())
--- a/leader/claim_test.go
+++ b/leader/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -72,7 +73,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			epoch, _, err := claim(ctx, view, last, node, "boot")
+			epoch, _, _, err := claim(ctx, view, last, node, "boot")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -93,3 +94,48 @@
 		}
 	})
 }
+
+// While a new leader reads the jobs it appends, so that nobody takes the topic
+// to be still and claims the next term meanwhile.
+func TestClaimIsHeard(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		store := standin.NewKeyed(1)
+		ctx := context.Background()
+		var records []pv.KeyedRecord
+		for i := range 2000 {
+			records = append(records, pv.KeyedRecord{Key: fmt.Sprintf("job/%04d", i), Value: []byte("{}")})
+		}
+		if err := store.For("x").Put(ctx, jobsTopic, records); err != nil {
+			t.Fatal(err)
+		}
+		store.Set(standin.KeyedFaults{Delay: 150 * time.Millisecond})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			epoch, got, last, err := claim(ctx, store.For("a"), lastClaim{}, "a", "boot")
+			if err != nil || epoch != 1 || len(got) < len(records) || last <= firstSequence {
+				t.Errorf("got epoch %d, %d records, sequence %d, %v", epoch, len(got), last, err)
+			}
+		}()
+		time.Sleep(500 * time.Millisecond)
+		watcher := store.For("b")
+		for {
+			page, err := watcher.Newest(ctx, jobsTopic, afterAllKeys)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tail, err := watcher.Tail(ctx, jobsTopic, page.End, nearPatience.still)
+			if err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-done:
+				return
+			default:
+			}
+			if len(tail.Records) == 0 {
+				t.Fatalf("got no append in %v of a claim, want one", nearPatience.still)
+			}
+		}
+	})
+}
--- a/leader/term.go
+++ b/leader/term.go
@@ -68,11 +68,11 @@
 func (t *term) run(ctx context.Context, last lastClaim) string {
 	s := t.leader.settings
 	begun := time.Now()
-	epoch, records, err := claim(ctx, t.leader.deps.Store, last, s.Node, s.Boot)
+	epoch, records, sequence, err := claim(ctx, t.leader.deps.Store, last, s.Node, s.Boot)
 	if err != nil {
 		return t.endReason(err.Error())
 	}
-	t.epoch, t.sequence, t.ctx = epoch, firstSequence, ctx
+	t.epoch, t.sequence, t.ctx = epoch, sequence, ctx
 	now := time.Now()
 	t.planner = planner.New(s.Planner, epoch)
 	for _, fault := range t.planner.Restore(now, records) {
