Let the test of first orders fail when none is marked

Cause: its first half only logged, and read orders that were whole, so a planner that marked no order as first passed. Ruled out: the planner; it marks them.

Before: with the mark removed the test passes. After: it fails, and passes on the sources as they are. No check is loosened.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -334,6 +334,7 @@
 func TestFirstOrders(t *testing.T) {
 	b := newBench(t)
 	b.report("w", 1, Look{})
+	b.starts("w") // the whole orders of a new link
 	b.submit("j", tasks(1))
 	b.settle()
 	first, _ := b.p.Orders(b.now, "w", all)
@@ -344,8 +345,8 @@
 	if len(first.Starts) != 1 || len(again.Starts) != 1 {
 		t.Fatalf("got %d and %d starts, want one each", len(first.Starts), len(again.Starts))
 	}
-	if first.Whole && !first.Starts[0].First {
-		t.Log("the first orders were whole")
+	if !first.Starts[0].First {
+		t.Error("got a first order that isn't marked as one")
 	}
 	if again.Starts[0].First {
 		t.Error("got a repeated order marked as first")
