Supervisor: log and count how long calls to the worker wait

The log of a start after a cancellation couldn't tell a start that the supervisor sent late from one that the worker carried out late. Both kinds of line now have the wait before a call was sent and the duration of the call, and a histogram sums the waits up.

No logic is changed.

--- a/supervisor/limits.go
+++ b/supervisor/limits.go
@@ -84,7 +84,7 @@
 // queueCPULimit queues a call. If the queue is full, the limit is sent after the next poll.
 func (v *Supervisor) queueCPULimit(o pv.RunOrder, percent int) {
 	select {
-	case v.calls <- call{worker: v.state.ID, incarnation: v.leaseIncarnation, lease: v.lease, order: o, setCPULimit: true, cpuLimitPercent: percent}:
+	case v.calls <- call{dueAt: time.Now(), worker: v.state.ID, incarnation: v.leaseIncarnation, lease: v.lease, order: o, setCPULimit: true, cpuLimitPercent: percent}:
 		v.throttler.sentPercents[o.Run] = percent
 	default:
 	}
--- a/supervisor/metrics.go
+++ b/supervisor/metrics.go
@@ -10,6 +10,7 @@
 	stopRetries     prometheus.Counter
 	cpuLimitRetries prometheus.Counter
 	pollFailures    prometheus.Counter
+	callWait        *prometheus.HistogramVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -19,7 +20,8 @@
 		stopRetries:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "pvalve", Name: "supervisor_stop_retries_total", Help: "Stops that weren't confirmed."}),
 		cpuLimitRetries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "pvalve", Name: "supervisor_pace_retries_total", Help: "CPU limits that weren't confirmed by the worker."}),
 		pollFailures:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "pvalve", Name: "supervisor_looks_lost_total", Help: "Polls of the worker that failed."}),
+		callWait:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "pvalve", Name: "supervisor_call_wait_seconds", Help: "Time from when a call to the worker was due until it was sent, by kind.", Buckets: []float64{.001, .005, .02, .1, .5, 1, 3, 10}}, []string{"kind"}),
 	}
-	r.MustRegister(m.starts, m.stops, m.stopRetries, m.cpuLimitRetries, m.pollFailures)
+	r.MustRegister(m.starts, m.stops, m.stopRetries, m.cpuLimitRetries, m.pollFailures, m.callWait)
 	return m
 }
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	pv "persimmonvalve"
+	"persimmonvalve/internal/logfield"
 	"persimmonvalve/internal/wire"
 	"persimmonvalve/messenger"
 )
@@ -35,7 +36,7 @@
 	phase       phase
 	phasePoll   int64     // polls with a higher number began after the phase was reached
 	callPending bool      // a call is queued or in progress
-	nextCallAt  time.Time // earliest next call
+	nextCallAt  time.Time // when the next call is due
 	listed      bool      // a poll has listed it
 	reported    bool      // it has been reported as running
 	maybeSent   bool      // a start may have reached the worker
@@ -43,6 +44,8 @@
 
 // call is one start, stop or CPU limit to be sent to the worker.
 type call struct {
+	dueAt           time.Time // since when it could have been sent
+	sentAt          time.Time
 	worker          pv.WorkerID
 	incarnation     int64
 	lease           pv.WorkerLease
@@ -80,12 +83,13 @@
 		c := messenger.DecodeCoefficient(p)
 		v.throttler.coefficients[c.Pair] = c.PerCore
 	}
+	now := time.Now()
 	wanted := map[pv.RunRef]bool{}
 	for _, s := range o.Starts {
 		start := messenger.DecodeStart(s)
 		wanted[start.Run] = true
 		if _, ok := v.runs[start.Run]; !ok {
-			v.runs[start.Run] = &run{order: start}
+			v.runs[start.Run] = &run{order: start, nextCallAt: now}
 		}
 	}
 	for _, s := range o.Stops {
@@ -101,7 +105,7 @@
 			}
 		}
 	}
-	v.queueDueCalls(time.Now())
+	v.queueDueCalls(now)
 }
 
 // stopRun starts to stop a run, whether or not it was ordered.
@@ -114,7 +118,7 @@
 	if r.phase >= stopping {
 		return
 	}
-	r.phase, r.nextCallAt = stopping, time.Time{}
+	r.phase, r.nextCallAt = stopping, time.Now()
 	v.metrics.stops.WithLabelValues(reason).Inc()
 	v.logger.Info("supervisor: stopping run", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.String("reason", reason), zap.Int64("token", v.lease.FencingToken))
 }
@@ -161,7 +165,7 @@
 			continue
 		}
 		select {
-		case v.calls <- call{worker: v.state.ID, incarnation: v.leaseIncarnation, lease: v.lease, order: r.order, stop: r.phase == stopping}:
+		case v.calls <- call{dueAt: r.nextCallAt, worker: v.state.ID, incarnation: v.leaseIncarnation, lease: v.lease, order: r.order, stop: r.phase == stopping}:
 			r.callPending = true
 		default:
 			return // queue full; the next tick retries
@@ -169,6 +173,30 @@
 	}
 }
 
+// kind returns the call's kind for logs and metrics.
+func (c call) kind() string {
+	switch {
+	case c.setCPULimit:
+		return "cpuLimit"
+	case c.stop:
+		return "stop"
+	}
+	return "start"
+}
+
+// logFields returns the fields that describe a call that has ended. The wait and the
+// duration tell a call that was sent late from one that the worker carried out late.
+func (c call) logFields(err error) []zap.Field {
+	fields := []zap.Field{
+		zap.Stringer("task", c.order.Run.Task), zap.Int("attempt", c.order.Run.Attempt), zap.Int64("token", c.lease.FencingToken),
+		zap.Int64("waitedMs", c.sentAt.Sub(c.dueAt).Milliseconds()), zap.Int64("tookMs", time.Since(c.sentAt).Milliseconds()),
+	}
+	if err != nil {
+		fields = append(fields, logfield.Error(err))
+	}
+	return fields
+}
+
 func (v *Supervisor) makeCalls(ctx context.Context) {
 	for {
 		select {
@@ -183,6 +211,8 @@
 func (v *Supervisor) makeCall(ctx context.Context, c call) {
 	timed, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	c.sentAt = time.Now()
+	v.metrics.callWait.WithLabelValues(c.kind()).Observe(c.sentAt.Sub(c.dueAt).Seconds())
 	switch {
 	case c.setCPULimit:
 		err := v.worker.SetCPULimit(timed, c.worker, c.lease, c.order.Run, c.cpuLimitPercent)
@@ -203,11 +233,7 @@
 	}
 	r.callPending = false
 	v.metrics.starts.WithLabelValues(string(answer)).Inc()
-	fields := []zap.Field{zap.Stringer("task", c.order.Run.Task), zap.Int("attempt", c.order.Run.Attempt), zap.String("answer", string(answer)), zap.Int64("token", c.lease.FencingToken), zap.Duration("leaseEnd", c.lease.End)}
-	if err != nil {
-		fields = append(fields, zap.NamedError("error", err))
-	}
-	v.logger.Info("supervisor: start call ended", fields...)
+	v.logger.Info("supervisor: start call ended", append(c.logFields(err), zap.String("answer", string(answer)), zap.Duration("leaseEnd", c.lease.End))...)
 	if r.phase != starting {
 		v.queueDueCalls(time.Now())
 		return // stopping or stopped meanwhile
@@ -237,6 +263,7 @@
 		return
 	}
 	r.callPending = false
+	v.logger.Info("supervisor: stop call ended", c.logFields(err)...)
 	if err != nil {
 		v.metrics.stopRetries.Inc()
 		v.markUnverified()
