Supervisor: choose each call to the worker when it is made

Cause: a start was put into a queue of calls when it was decided. Three goroutines took calls off this queue, and a worker that doesn't answer held each of them for a second a call. A start that reached the head of the queue was sent without being checked again, and a run's stop couldn't be queued while its start was. Evidence: starts of reported runs had waited 3.5 and 4.4 s, were carried out within 3 ms, and no stop had been sent.

Now there is no queue. The event loop chooses each call when it is made, from the state of that moment: stops first, then CPU limits, then starts, each with the newest lease. A stop is sent while the run's start has no answer: the worker then refuses that attempt or stops the run. Such a run is reported absent only after its start call has ended. Calls of one kind don't hold up another, and a call without an answer stops counting towards the limit after 50 ms. CPU limits are sent with their newest value, one at a time for each filler.

--- /dev/null
+++ b/supervisor/calls.go
@@ -0,0 +1,256 @@
+package supervisor
+
+// This file defines the calls that carry the orders out on the worker: starts, stops and
+// CPU limits.
+//
+// The event loop chooses a call at the moment when it is made, from the state of that
+// moment. Nothing decided earlier waits in a queue: a run that was to be stopped
+// meanwhile isn't started. The concurrent calls of each kind are bounded, but calls that
+// get no answer soon don't count, so that they hold up no others.
+//
+// A call with an unknown outcome is retried with the same attempt number, which makes it
+// idempotent: the worker treats it as the same run. A stop may be sent while the start of
+// the same run has no answer: the worker then refuses the start, or stops the run.
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/logfield"
+	"persimmonvalve/messenger"
+)
+
+// callKind is the kind of a call.
+type callKind int
+
+const (
+	kindStop callKind = iota
+	kindCPULimit
+	kindStart
+	callKinds int = iota
+)
+
+// callLimits are the bounds of the calls of each kind.
+var callLimits = [callKinds]struct {
+	name       string        // for logs and metrics
+	concurrent int           // calls sent within slowCallDuration
+	timeout    time.Duration // after which the outcome of a call is unknown
+}{
+	kindStop:     {"stop", 4, 400 * time.Millisecond}, // a cancellation must take effect within 3 s, also if two of five stops get no answer
+	kindCPULimit: {"cpuLimit", 2, time.Second},
+	kindStart:    {"start", 3, time.Second},
+}
+
+// Limits and intervals of calls.
+const (
+	slowCallDuration   = 50 * time.Millisecond  // after which a call doesn't hold up others
+	maxCallsInProgress = 32                     // of one kind
+	startRetryInterval = 250 * time.Millisecond // between attempts of a start
+	stopRetryInterval  = 100 * time.Millisecond // between attempts of a stop
+)
+
+// call is one call to the worker.
+type call struct {
+	kind            callKind
+	dueAt           time.Time // since when it could have been sent
+	sentAt          time.Time
+	worker          pv.WorkerID
+	incarnation     int64
+	lease           pv.WorkerLease
+	order           pv.RunOrder
+	cpuLimitPercent int // of a kindCPULimit
+}
+
+// logFields returns the fields that describe a call that has ended. The wait and the
+// duration tell a call that was sent late from one that the worker carried out late.
+func (c call) logFields(err error) []zap.Field {
+	fields := []zap.Field{
+		zap.Stringer("task", c.order.Run.Task), zap.Int("attempt", c.order.Run.Attempt), zap.Int64("token", c.lease.FencingToken),
+		zap.Int64("waitedMs", c.sentAt.Sub(c.dueAt).Milliseconds()), zap.Int64("tookMs", time.Since(c.sentAt).Milliseconds()),
+	}
+	if err != nil {
+		fields = append(fields, logfield.Error(err))
+	}
+	return fields
+}
+
+// makeDueCalls makes the calls that are due and that the limits allow, the longest due
+// first. On a draining worker it stops the runs whose start isn't confirmed.
+func (v *Supervisor) makeDueCalls(now time.Time) {
+	if v.lease.FencingToken == 0 || v.leaseIncarnation != v.state.Incarnation {
+		return
+	}
+	if v.state.Draining {
+		for ref, r := range v.runs {
+			if r.phase == starting {
+				v.stopRun(ref, "workerLeaving")
+			}
+		}
+	}
+	for v.mayCall(now, kindStop) {
+		r := v.longestDue(now, func(r *run) bool { return r.phase == stopping && !r.stopPending })
+		if r == nil {
+			break
+		}
+		r.stopPending = true
+		v.makeCall(call{kind: kindStop, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+	}
+	for v.mayCall(now, kindCPULimit) {
+		r := v.longestUnsentLimit()
+		if r == nil {
+			break
+		}
+		ref := r.order.Run
+		r.limitPending = true
+		v.makeCall(call{kind: kindCPULimit, dueAt: v.unsentLimits[ref], sentAt: now, order: r.order, cpuLimitPercent: v.throttler.sentPercents[ref]})
+		delete(v.unsentLimits, ref)
+	}
+	for v.mayCall(now, kindStart) {
+		r := v.longestDue(now, func(r *run) bool { return r.phase == starting && !r.startPending && v.mayStart(now, r) })
+		if r == nil {
+			break
+		}
+		r.startPending = true
+		v.makeCall(call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+	}
+}
+
+// mayCall reports whether the limits allow another call of the kind. If they don't, the
+// calls that are due are made once the calls in progress count as slow.
+func (v *Supervisor) mayCall(now time.Time, kind callKind) bool {
+	inProgress, recent := v.callsInProgress[kind], 0
+	for _, sentAt := range inProgress {
+		if now.Sub(sentAt) < slowCallDuration {
+			recent++
+		}
+	}
+	if recent < callLimits[kind].concurrent {
+		return len(inProgress) < maxCallsInProgress
+	}
+	if v.slowCallTimer == nil {
+		v.slowCallTimer = time.AfterFunc(slowCallDuration, func() {
+			v.eventLoop.Post(func() {
+				v.slowCallTimer = nil
+				v.makeDueCalls(time.Now())
+			})
+		})
+	}
+	return false
+}
+
+// longestDue returns the run whose next call has been due for the longest time, of those
+// that match, or nil.
+func (v *Supervisor) longestDue(now time.Time, match func(*run) bool) *run {
+	var first *run
+	for _, r := range v.runs {
+		if !now.Before(r.nextCallAt) && match(r) && (first == nil || r.nextCallAt.Before(first.nextCallAt)) {
+			first = r
+		}
+	}
+	return first
+}
+
+// maxPollAgeForStart is the age of the last successful poll at which starts are no
+// longer sent.
+const maxPollAgeForStart = 1200 * time.Millisecond
+
+// mayStart reports whether a start may be sent. A worker that doesn't answer polls
+// may restart at any time, and its new incarnation would accept the start although
+// the leader has treated the lease as ended. A start that certainly hasn't been sent
+// to the worker is then dropped and its run reported as absent.
+func (v *Supervisor) mayStart(now time.Time, r *run) bool {
+	if v.lease.End == 0 || v.polledAt.IsZero() {
+		return false // no reading of the worker's clock yet
+	}
+	if now.Sub(v.polledAt) < maxPollAgeForStart {
+		return !v.unverified() && !v.deregistered
+	}
+	if r.order.FirstSend && !r.maybeSent && v.canReport() {
+		ref := r.order.Run
+		delete(v.runs, ref)
+		v.metrics.stops.WithLabelValues("workerLost").Inc()
+		v.logger.Info("supervisor: run reported absent before its start: last poll too old", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.Int64("lookAgeMs", now.Sub(v.polledAt).Milliseconds()))
+		v.link.Send(frame(messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Absent: []pv.RunRef{ref}}))
+	}
+	return false
+}
+
+// makeCall makes a call with the newest lease, on a goroutine of its own, and handles its
+// result on the event loop.
+func (v *Supervisor) makeCall(c call) {
+	limits := callLimits[c.kind]
+	c.worker, c.incarnation, c.lease = v.state.ID, v.leaseIncarnation, v.lease
+	v.lastCallNumber++
+	number := v.lastCallNumber
+	v.callsInProgress[c.kind][number] = c.sentAt
+	v.metrics.callWait.WithLabelValues(limits.name).Observe(c.sentAt.Sub(c.dueAt).Seconds())
+	v.goroutines.Go(func() {
+		timed, cancel := context.WithTimeout(v.ctx, limits.timeout)
+		defer cancel()
+		var handle func()
+		switch c.kind {
+		case kindCPULimit:
+			err := v.worker.SetCPULimit(timed, c.worker, c.lease, c.order.Run, c.cpuLimitPercent)
+			handle = func() { v.handleCPULimit(c, err) }
+		case kindStop:
+			err := v.worker.Stop(timed, c.worker, c.lease, c.order.Run)
+			handle = func() { v.handleStop(c, err) }
+		case kindStart:
+			answer, err := v.worker.Start(timed, c.worker, c.lease, c.order)
+			handle = func() { v.handleStart(c, answer, err) }
+		}
+		v.eventLoop.Post(func() {
+			delete(v.callsInProgress[c.kind], number)
+			handle()
+			v.makeDueCalls(time.Now())
+		})
+	})
+}
+
+func (v *Supervisor) handleStart(c call, answer pv.StartAnswer, err error) {
+	r, ok := v.runs[c.order.Run]
+	if !ok || c.incarnation != v.state.Incarnation {
+		return
+	}
+	r.startPending = false
+	v.metrics.starts.WithLabelValues(string(answer)).Inc()
+	v.logger.Info("supervisor: start call ended", append(c.logFields(err), zap.String("answer", string(answer)), zap.Duration("leaseEnd", c.lease.End))...)
+	r.maybeSent = r.maybeSent || answer != pv.StartNotSent
+	if answer == pv.StartNotSent || answer == pv.StartUnknown {
+		v.markUnverified()
+	}
+	if r.phase != starting {
+		r.phasePoll = v.pollNumber
+		v.wakePoll()
+		return
+	}
+	switch answer {
+	case pv.StartAccepted:
+		r.phase, r.phasePoll = started, v.pollNumber
+		v.limitNewFiller(r.order)
+	case pv.StartNotSent, pv.StartUnknown, pv.StartFenced, pv.StartLeaseExpired:
+		r.nextCallAt = time.Now().Add(startRetryInterval)
+	default:
+		v.stopRun(c.order.Run, string(answer))
+	}
+}
+
+func (v *Supervisor) handleStop(c call, err error) {
+	r, ok := v.runs[c.order.Run]
+	if !ok || c.incarnation != v.state.Incarnation {
+		return
+	}
+	r.stopPending = false
+	v.logger.Info("supervisor: stop call ended", c.logFields(err)...)
+	if err != nil {
+		v.metrics.stopRetries.Inc()
+		v.markUnverified()
+		r.nextCallAt = time.Now().Add(stopRetryInterval)
+		return
+	}
+	r.phase, r.phasePoll = stopped, v.pollNumber
+	v.wakePoll()
+}
--- a/supervisor/limits.go
+++ b/supervisor/limits.go
@@ -37,7 +37,7 @@
 			sent = fullPercent
 		}
 		if sent != percents[i] {
-			v.queueCPULimit(v.runs[f.run].order, percents[i])
+			v.setCPULimit(f.run, percents[i])
 		}
 	}
 	if len(fillers) == 0 {
@@ -67,7 +67,7 @@
 		percent = initialLimitPercent
 	}
 	if percent < fullPercent {
-		v.queueCPULimit(o, percent)
+		v.setCPULimit(o.Run, percent)
 	}
 }
 
@@ -81,19 +81,44 @@
 	return false
 }
 
-// queueCPULimit queues a call. If the queue is full, the limit is sent after the next poll.
-func (v *Supervisor) queueCPULimit(o pv.RunOrder, percent int) {
-	select {
-	case v.calls <- call{dueAt: time.Now(), worker: v.state.ID, incarnation: v.leaseIncarnation, lease: v.lease, order: o, setCPULimit: true, cpuLimitPercent: percent}:
-		v.throttler.sentPercents[o.Run] = percent
-	default:
+// setCPULimit sets the CPU limit of a filler. It is sent when a call can be made; a later
+// limit replaces it until then.
+func (v *Supervisor) setCPULimit(ref pv.RunRef, percent int) {
+	v.throttler.sentPercents[ref] = percent
+	if _, ok := v.unsentLimits[ref]; !ok {
+		v.unsentLimits[ref] = time.Now()
 	}
 }
 
+// longestUnsentLimit returns the filler whose CPU limit has been unsent for the longest
+// time, or nil. One limit of a filler is sent at a time, so that an earlier one can't
+// replace a later one.
+func (v *Supervisor) longestUnsentLimit() *run {
+	var first *run
+	for ref, since := range v.unsentLimits {
+		r, ok := v.runs[ref]
+		if !ok || r.phase != started {
+			delete(v.unsentLimits, ref)
+			continue
+		}
+		if !r.limitPending && (first == nil || since.Before(v.unsentLimits[first.order.Run])) {
+			first = r
+		}
+	}
+	return first
+}
+
 func (v *Supervisor) handleCPULimit(c call, err error) {
+	r, ok := v.runs[c.order.Run]
+	if !ok || c.incarnation != v.state.Incarnation {
+		return
+	}
+	r.limitPending = false
 	if err == nil {
 		return
 	}
 	v.metrics.cpuLimitRetries.Inc()
-	v.throttler.sentPercents[c.order.Run] = unknownPercent
+	if _, replaced := v.unsentLimits[c.order.Run]; !replaced {
+		v.throttler.sentPercents[c.order.Run] = unknownPercent
+	}
 }
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -82,7 +82,7 @@
 		q.acknowledged = 0 // a new incarnation would drop ends that were never reported
 	}
 	for _, r := range v.runs {
-		if v.canReport() && (r.phase == stopped || r.phase == started && !r.listed) {
+		if v.canReport() && (r.phase == stopped && !r.startPending || r.phase == started && !r.listed) {
 			q.wait = 0 // report its state without delay
 			break
 		}
@@ -175,7 +175,7 @@
 		case started:
 			v.stopRun(ref, "vanished")
 		case stopped:
-			if !reportable {
+			if !reportable || r.startPending {
 				continue
 			}
 			delete(v.runs, ref)
@@ -191,7 +191,7 @@
 	if reportable {
 		v.link.Send(frame(out))
 	}
-	v.queueDueCalls(now)
 	v.updateCPULimits(now, runs.Running)
+	v.makeDueCalls(now)
 	return len(runs.Ended) > 0
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -35,11 +35,7 @@
 	pollMargin       = time.Second            // a poll's timeout is its wait plus this margin
 	ackWait          = 150 * time.Millisecond // before the next poll, for the leader to acknowledge reported ends
 	reportInterval   = 450 * time.Millisecond // between reports of running runs
-	callTimeout      = time.Second            // of a start, stop or CPU limit; its outcome is then unknown
-	retryInterval    = 250 * time.Millisecond // between attempts of a start or stop
-	concurrentCalls  = 3                      // starts, stops and CPU limits in progress at once
-	callQueueSize    = 1024
-	maxFormerWorkers = 8 // deregistered workers that are reported to new leaders; also the length of the queue of deregistrations
+	maxFormerWorkers = 8                      // deregistered workers that are reported to new leaders; also the length of the queue of deregistrations
 )
 
 // Settings identify the process and its worker.
@@ -66,8 +62,8 @@
 	metrics    *metrics
 	eventLoop  *kernel.EventLoop
 	acceptor   *messenger.LeaderAcceptor
-	calls      chan call
 	pollWake   chan struct{} // ends a wait of pollWorker
+	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 
@@ -84,7 +80,11 @@
 	acknowledgedEnd  int64 // highest end number that the leader has acknowledged
 	synchronised     bool  // the leader has sent full orders on this link
 	runs             map[pv.RunRef]*run
-	reportedEnd      int64 // highest end number reported under this lease
+	callsInProgress  [callKinds]map[int64]time.Time // by number: when each was sent
+	lastCallNumber   int64
+	slowCallTimer    *time.Timer             // nil unless calls that are due wait for it
+	unsentLimits     map[pv.RunRef]time.Time // fillers whose CPU limit is to be sent, and since when
+	reportedEnd      int64                   // highest end number reported under this lease
 	runsReportedAt   time.Time
 	pollNumber       int64
 	unverifiedSince  int64     // pollNumber when a call last failed; 0 once a later poll has succeeded
@@ -99,23 +99,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &Supervisor{
 		settings: s, worker: d.Worker, logger: d.Logger, metrics: newMetrics(d.Registry),
-		calls: make(chan call, callQueueSize), pollWake: make(chan struct{}, 1), cancel: cancel,
-		runs: map[pv.RunRef]*run{}, throttler: newThrottler(), deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
+		pollWake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		runs: map[pv.RunRef]*run{}, unsentLimits: map[pv.RunRef]time.Time{}, throttler: newThrottler(), deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
 	}
 	v.eventLoop = kernel.NewEventLoop(tickInterval, v.tick)
 	v.acceptor = messenger.NewLeaderAcceptor(s.Node, Role, d.Listener, d.Logger, v)
-	for range concurrentCalls {
-		v.goroutines.Add(1)
-		go func() {
-			defer v.goroutines.Done()
-			v.makeCalls(ctx)
-		}()
+	for kind := range v.callsInProgress {
+		v.callsInProgress[kind] = map[int64]time.Time{}
 	}
-	v.goroutines.Add(1)
-	go func() {
-		defer v.goroutines.Done()
-		v.pollWorker(ctx)
-	}()
+	v.goroutines.Go(func() { v.pollWorker(ctx) })
 	return v
 }
 
@@ -123,8 +115,9 @@
 func (v *Supervisor) Stop(ctx context.Context) error {
 	v.acceptor.Close()
 	v.cancel()
+	err := v.eventLoop.Stop(ctx) // it starts the goroutines of calls
 	v.goroutines.Wait()
-	return v.eventLoop.Stop(ctx)
+	return err
 }
 
 // LeaderStatus returns the leader's status, judged by its link to this process.
@@ -226,6 +219,7 @@
 	v.logger.Info("supervisor: new worker incarnation", zap.String("worker", string(id)), zap.Int64("life", incarnation), zap.Int64("formerLife", v.state.Incarnation))
 	v.state.ID, v.state.Incarnation = id, incarnation
 	clear(v.runs)
+	clear(v.unsentLimits)
 	v.lease = pv.WorkerLease{} // its end is a reading of the former incarnation's clock
 	v.reportedEnd, v.acknowledgedEnd, v.polledAt = 0, 0, time.Time{}
 	v.throttler = newThrottler()
