Supervisor: start runs only under recent orders of a leader that may start them

What callers could see: a task of a job starts up to a lease (6 s) after its cancellation was acknowledged, when the leader that ordered the start is gone or cut off and the worker leaves starts unanswered.

The supervisor kept such a start, and repeated it, for as long as the worker's lease lasted, whatever had become of the leader. Now orders of a leader that may start runs permit starts for 1.2 s, the rest of the 3 s in which a cancellation takes effect. Orders of one that may not start runs say so (starts_withheld) and extend no permission.

--- a/leader/term.go
+++ b/leader/term.go
@@ -191,8 +191,9 @@
 	return t.leader.deps.Clock()-t.confirmedAt < t.leader.settings.Planner.LeaderLease()
 }
 
-// maxInboxAge is the time since the last read of the inbox after which no runs are
-// started: the inbox may hold a cancellation, which must take effect within 3 s.
+// maxInboxAge is the time since the last read of the inbox after which no orders to start
+// runs are sent: the inbox may hold a cancellation, which must take effect within 3 s. A
+// supervisor may carry them out for 1.2 s more.
 const maxInboxAge = 1800 * time.Millisecond
 
 // mayStartRuns reports whether the inbox was read recently enough to start runs.
@@ -324,5 +325,6 @@
 func ordersFrame(o planner.Orders) *wire.LinkFrame {
 	orders := messenger.EncodeOrders(o.Worker, o.Incarnation, o.Lease, o.Acknowledged, o.Full, o.Starts, o.Stops)
 	orders.Presses = messenger.EncodeCoefficients(o.Coefficients)
+	orders.StartsWithheld = o.StartsWithheld
 	return &wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}}
 }
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -18,6 +18,9 @@
 	Starts       []pv.RunOrder
 	Stops        []pv.RunRef
 	Coefficients []pv.InterferenceCoefficient // that are new or have changed
+	// StartsWithheld states that the leader may not start runs at present. The supervisor
+	// then lets the permission of earlier orders run out.
+	StartsWithheld bool
 }
 
 // leaseRenewalInterval is the longest time between two renewals of a worker's lease.
@@ -44,7 +47,7 @@
 	if !w.fullOrdersDue && !renewalDue && (len(w.unsentStarts) == 0 || !permissions.StartRuns) && len(w.unsentStops) == 0 && w.committedEnd == w.acknowledgedEnd {
 		return Orders{}, false
 	}
-	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue}
+	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue, StartsWithheld: !permissions.StartRuns}
 	o.Lease.FencingToken = w.fencingToken
 	if permissions.RenewLease {
 		o.Lease.End = w.renewLease(now, p.settings)
--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -153,20 +153,26 @@
 	return first
 }
 
-// maxPollAgeForStart is the age of the last successful poll at which starts are no
-// longer sent.
-const maxPollAgeForStart = 1200 * time.Millisecond
+// Conditions of starts.
+const (
+	maxPollAgeForStart = 1200 * time.Millisecond // since the last successful poll
+	// startPermission is how long orders of a leader that may start runs permit starts. A
+	// cancellation that the leader hasn't read yet is up to 1.8 s old at that time, and no
+	// run may start later than 3 s after it.
+	startPermission = 1200 * time.Millisecond
+)
 
 // mayStart reports whether a start may be sent. A worker that doesn't answer polls
 // may restart at any time, and its new incarnation would accept the start although
 // the leader has treated the lease as ended. A start that certainly hasn't been sent
-// to the worker is then dropped and its run reported as absent.
+// to the worker is then dropped and its run reported as absent. Without recent orders,
+// the leader may be gone and the run's job cancelled elsewhere.
 func (v *Supervisor) mayStart(now time.Time, r *run) bool {
 	if v.lease.End == 0 || v.polledAt.IsZero() {
 		return false // no reading of the worker's clock yet
 	}
 	if now.Sub(v.polledAt) < maxPollAgeForStart {
-		return !v.unverified() && !v.deregistered
+		return !v.unverified() && !v.deregistered && now.Before(v.startsPermittedUntil)
 	}
 	if r.order.FirstSend && !r.maybeSent && v.canReport() {
 		ref := r.order.Run
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -50,6 +50,7 @@
 		v.sendState() // the leader hasn't received this incarnation yet
 		return
 	}
+	now := time.Now()
 	if o.Token != v.lease.FencingToken || o.Life != v.leaseIncarnation || o.Whole {
 		v.reportedEnd = 0
 		v.wakePoll()
@@ -59,6 +60,9 @@
 		until = max(until, v.lease.End)
 	}
 	v.lease, v.leaseIncarnation = pv.WorkerLease{FencingToken: o.Token, End: until}, o.Life
+	if !o.StartsWithheld {
+		v.startsPermittedUntil = now.Add(startPermission)
+	}
 	if o.Acknowledged > v.acknowledgedEnd || o.Whole {
 		v.acknowledgedEnd = o.Acknowledged
 		v.wakePoll()
@@ -67,7 +71,6 @@
 		c := messenger.DecodeCoefficient(p)
 		v.throttler.coefficients[c.Pair] = c.PerCore
 	}
-	now := time.Now()
 	wanted := map[pv.RunRef]bool{}
 	for _, s := range o.Starts {
 		start := messenger.DecodeStart(s)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -68,30 +68,31 @@
 	goroutines sync.WaitGroup
 
 	// Owned by the event loop.
-	link             *messenger.Link
-	epoch            int64
-	state            pv.WorkerState
-	hasState         bool // a heartbeat has been received
-	deregistered     bool
-	formerWorkers    []pv.WorkerState       // deregistered, reported to new leaders
-	deregistrations  chan pv.Deregistration // read by the directory
-	lease            pv.WorkerLease
-	leaseIncarnation int64 // that the lease applies to
-	acknowledgedEnd  int64 // highest end number that the leader has acknowledged
-	synchronised     bool  // the leader has sent full orders on this link
-	runs             map[pv.RunRef]*run
-	callsInProgress  [callKinds]map[int64]time.Time // by number: when each was sent
-	lastCallNumber   int64
-	slowCallTimer    *time.Timer             // nil unless calls that are due wait for it
-	unsentLimits     map[pv.RunRef]time.Time // fillers whose CPU limit is to be sent, and since when
-	reportedEnd      int64                   // highest end number reported under this lease
-	runsReportedAt   time.Time
-	pollNumber       int64
-	unverifiedSince  int64     // pollNumber when a call last failed; 0 once a later poll has succeeded
-	polledAt         time.Time // when this incarnation last answered a poll
-	pollFailing      bool
-	throttler        throttler
-	stateUnsent      bool
+	link                 *messenger.Link
+	epoch                int64
+	state                pv.WorkerState
+	hasState             bool // a heartbeat has been received
+	deregistered         bool
+	formerWorkers        []pv.WorkerState       // deregistered, reported to new leaders
+	deregistrations      chan pv.Deregistration // read by the directory
+	lease                pv.WorkerLease
+	leaseIncarnation     int64     // that the lease applies to
+	acknowledgedEnd      int64     // highest end number that the leader has acknowledged
+	synchronised         bool      // the leader has sent full orders on this link
+	startsPermittedUntil time.Time // by the latest orders
+	runs                 map[pv.RunRef]*run
+	callsInProgress      [callKinds]map[int64]time.Time // by number: when each was sent
+	lastCallNumber       int64
+	slowCallTimer        *time.Timer             // nil unless calls that are due wait for it
+	unsentLimits         map[pv.RunRef]time.Time // fillers whose CPU limit is to be sent, and since when
+	reportedEnd          int64                   // highest end number reported under this lease
+	runsReportedAt       time.Time
+	pollNumber           int64
+	unverifiedSince      int64     // pollNumber when a call last failed; 0 once a later poll has succeeded
+	polledAt             time.Time // when this incarnation last answered a poll
+	pollFailing          bool
+	throttler            throttler
+	stateUnsent          bool
 }
 
 // New starts a supervisor; Stop ends it.
