Supervisor: report the runs that a worker accepted just before it stopped answering

The log of a worker's crash didn't show which of its runs could have caused it. The line on the failed poll and a report to the leader now name the runs that no poll has listed, or else those accepted within a second before the last poll. The leader ignores the report for now. No logic is changed.

--- a/job.go
+++ b/job.go
@@ -32,6 +32,9 @@
 	Attempt int // from 1; the same for all members of a gang
 }
 
+// String formats the reference for logs, as task#attempt.
+func (r RunRef) String() string { return fmt.Sprintf("%v#%d", r.Task, r.Attempt) }
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	Count          int           `json:"count"`
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -20,6 +20,8 @@
 	Runs         pv.WorkerRuns
 	Absent       []pv.RunRef // not on the worker, and can't start there any more under FencingToken
 	EndsAbove    int64       // Runs.Ended holds all unacknowledged ends with a higher sequence number
+	Unanswered   bool        // the worker has stopped answering polls
+	RecentStarts []pv.RunRef // if Unanswered: runs that it had accepted shortly before
 }
 
 func encodeRun(r pv.RunRef) *wire.Run {
@@ -59,6 +61,7 @@
 			return &wire.RunEnd{Number: e.Sequence, Run: encodeRun(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint}
 		}),
 		Gone: mapSlice(r.Absent, encodeRun), EndsAfter: r.EndsAbove, Address: encodeAddress(w.Address),
+		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, encodeRun),
 	}
 }
 
@@ -100,6 +103,7 @@
 			}),
 		},
 		Absent: mapSlice(r.Gone, decodeRun), EndsAbove: r.EndsAfter,
+		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, decodeRun),
 	}
 }
 
--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -235,8 +235,11 @@
 	}
 	switch answer {
 	case pv.StartAccepted:
-		r.phase, r.phasePoll = started, v.pollNumber
+		r.phase, r.phasePoll, r.acceptedAt = started, v.pollNumber, time.Now()
 		v.limitNewFiller(r.order)
+		if v.pollFailing {
+			v.reportUnanswered()
+		}
 	case pv.StartNotSent, pv.StartUnknown, pv.StartFenced, pv.StartLeaseExpired:
 		r.nextCallAt = time.Now().Add(startRetryInterval)
 	default:
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -112,7 +112,8 @@
 	if err != nil {
 		if !v.pollFailing {
 			v.pollFailing = true
-			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), logfield.Error(err))
+			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Stringers("startedShortlyBefore", v.recentStarts()), logfield.Error(err))
+			v.reportUnanswered()
 		}
 		v.metrics.pollFailures.Inc()
 		v.markUnverified()
@@ -195,3 +196,34 @@
 	v.makeDueCalls(now)
 	return len(runs.Ended) > 0
 }
+
+// recentStartDuration is the age of a run up to which it is suspected when the worker
+// stops answering and no younger run is known.
+const recentStartDuration = time.Second
+
+// recentStarts returns the runs that the worker accepted last: those that no poll has
+// listed, or else those accepted within recentStartDuration before the last poll. If the
+// worker has crashed, one of them may be the cause.
+func (v *Supervisor) recentStarts() []pv.RunRef {
+	var unlisted, recent []pv.RunRef
+	for ref, r := range v.runs {
+		switch {
+		case r.acceptedAt.IsZero():
+		case !r.listed:
+			unlisted = append(unlisted, ref)
+		case r.acceptedAt.After(v.polledAt.Add(-recentStartDuration)):
+			recent = append(recent, ref)
+		}
+	}
+	if len(unlisted) > 0 {
+		return unlisted
+	}
+	return recent
+}
+
+// reportUnanswered reports that the worker has stopped answering.
+func (v *Supervisor) reportUnanswered() {
+	if v.canReport() {
+		v.link.Send(frame(messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Unanswered: true, RecentStarts: v.recentStarts()}))
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -140,6 +140,9 @@
 		}
 		v.stateUnsent = true
 		v.sendState()
+		if v.pollFailing {
+			v.reportUnanswered()
+		}
 	})
 }
 
