Planner: no new runs for a worker that has stopped answering

What callers saw: nothing directly; tasks used up dozens of attempts within a second after a worker's crash, each with records in the store, and started late.

Cause: the planner gives a worker runs until its last poll result is 2 s old, the supervisor starts none from 1.2 s on and reports each first order as absent; the planner then assigned the task to the same worker again.

TestNoRunsForWorkerThatStoppedAnswering failed before ("got starts [first.0.0.0#2 second.0.0.0#1] on a worker that stopped answering, want none").

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -556,3 +556,35 @@
 		t.Errorf("got state %q, want %s", state, pv.JobCancelled)
 	}
 }
+
+// A worker that had stopped answering was given runs until its last poll was 2 s old. Its
+// supervisor reported each as absent, so that they used up dozens of attempts.
+func TestNoRunsForWorkerThatStoppedAnswering(t *testing.T) {
+	reports := map[string]Report{
+		"unanswered poll": {Unanswered: true},
+		"absent run":      {Absent: []pv.RunRef{runOf("first", 0, 0, 1)}},
+	}
+	for name, report := range reports {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.reportPoll("w", 1, PollResult{})
+			h.submit("first", stepWithTasks(1))
+			h.tickAndCommit()
+			if got := len(h.sendOrders("w")); got != 1 {
+				t.Fatalf("got %d starts on an answering worker, want 1", got)
+			}
+			report.Worker, report.FencingToken = h.workerState("w", 1), h.p.worker(h.now, "w").fencingToken
+			h.p.Report(h.now, report)
+			h.submit("second", stepWithTasks(1))
+			h.advance(100 * time.Millisecond)
+			if got := h.sendOrders("w"); len(got) != 0 {
+				t.Errorf("got starts %v on a worker that stopped answering, want none", got)
+			}
+			h.reportPoll("w", 1, PollResult{})
+			h.advance(100 * time.Millisecond)
+			if got := h.sendOrders("w"); len(got) == 0 {
+				t.Error("got no start once the worker answers again, want some")
+			}
+		})
+	}
+}
--- a/planner/report.go
+++ b/planner/report.go
@@ -25,6 +25,7 @@
 	FencingToken int64       // fencing token to which the report applies, see incarnationBits; 0 without one
 	Absent       []pv.RunRef // not on the worker, and can't start there any more under FencingToken or an earlier one
 	Poll         *PollResult // nil when the worker has not answered a poll under FencingToken
+	Unanswered   bool        // the worker has stopped answering polls
 }
 
 // Connect records that a worker's supervisor is connected to this leader.
@@ -61,6 +62,9 @@
 		w.deregisteredAt = now
 		p.addEvent(Event{Kind: "worker departed", Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation})
 	}
+	if r.Unanswered || len(r.Absent) > 0 && r.Poll == nil {
+		w.unanswering = true // the supervisor would report new runs as absent, again and again
+	}
 	if r.FencingToken != w.fencingToken {
 		return // the supervisor has not received the token for this leader and incarnation yet
 	}
@@ -96,7 +100,7 @@
 		// reading of this clock, and that reading isn't later than this one.
 		w.leaseEnd = max(w.leaseEnd, poll.Clock+p.settings.LeaseDuration)
 	}
-	w.clock, w.clockReceivedAt = poll.Clock, now
+	w.clock, w.clockReceivedAt, w.unanswering = poll.Clock, now, false
 	if poll.EndsAbove > w.appliedEnd {
 		// Earlier ends were reported to another leader only. Full orders make the
 		// supervisor report all ends.
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -35,6 +35,7 @@
 	orphanDeadline        time.Time     // when the runs of a worker without a poll result count as ended
 	deregisteredAt        time.Time
 	connected             bool // the worker's supervisor is connected to this leader
+	unanswering           bool // its supervisor reported no answer since the last poll result
 
 	runs              map[pv.RunRef]*run
 	reserved          pv.Resources             // by runs; fillers reserve no cores
@@ -99,7 +100,7 @@
 
 // schedulable reports whether the worker may get new runs.
 func (w *worker) schedulable(now time.Time, s Settings) bool {
-	return w.fencingTokenConfirmed && w.connected && !w.state.Draining && w.deregisteredAt.IsZero() &&
+	return w.fencingTokenConfirmed && w.connected && !w.unanswering && !w.state.Draining && w.deregisteredAt.IsZero() &&
 		now.Sub(w.clockReceivedAt) < s.MaxReportAge && !now.Before(w.quarantinedUntil) &&
 		w.leaseEnd > w.clock+now.Sub(w.clockReceivedAt)+minRemainingLease
 }
