Stand-in worker: tasks that crash it, changing capacity

JobWorker can be crashed by the tasks of a predicate and comes back by itself, its capacity can change while it runs, and the check of its capacity covers memory and accelerators. RunAudit counts the workers that crashed under each task. Needed to test tasks that crash their workers and capacities that shrink.

--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -84,7 +84,7 @@
 			ID: pv.WorkerID(fmt.Sprintf("w%d", i)), Service: "s",
 			Capacity: pv.Resources{MilliCores: workerMilliCores, MemoryMB: 64000},
 		}
-		s.workers = append(s.workers, standin.NewJobWorker(state, s.runAudit, taskRunTime, seed+uint64(i), func(pv.TaskRef) int64 { return taskMilliCores }))
+		s.workers = append(s.workers, standin.NewJobWorker(state, s.runAudit, taskRunTime, seed+uint64(i), s.taskSize))
 	}
 	for i := range gatewayCount {
 		s.gateways = append(s.gateways, s.startGateway(i))
@@ -126,6 +126,17 @@
 	return out
 }
 
+// taskSize returns what a task counts against its worker's capacity.
+func (s *siteHarness) taskSize(t pv.TaskRef) pv.Resources {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	step := s.jobs[t.Job].Steps[t.Step]
+	if step.Filler {
+		step.Size.MilliCores = 0
+	}
+	return step.Size
+}
+
 func (s *siteHarness) startGateway(i int) *process {
 	s.lastSerial++
 	name := fmt.Sprintf("gateway-%d", i)
--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -4,6 +4,7 @@
 // runs the tasks of jobs. Its lease ends at a time of the worker's own clock.
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -16,17 +17,30 @@
 // JobWorkerFaults are the faults that a JobWorker injects.
 type JobWorkerFaults struct {
 	DelayedOrderFraction float64 // fraction of orders that are not answered, and carried out 2 to 12 s later
+	DelayedStartFraction float64 // the same for starts alone, if it is higher
 	LostAnswerFraction   float64 // fraction of orders that are carried out at once and not answered
 	FailedRunFraction    float64 // fraction of runs that fail
 }
 
+// WorkerCrashes are the tasks that crash a JobWorker, and how the worker comes back.
+type WorkerCrashes struct {
+	Crashes  func(pv.TaskRef) bool // whether a task crashes the worker that starts it; nil is none
+	Delay    time.Duration         // from the start of the run to the crash; 0 is 10 ms
+	DownTime time.Duration         // from the crash to the return
+	NewID    func() pv.WorkerID    // id of the worker after its return; nil keeps the id
+}
+
+// defaultCrashDelay is the time from the start of a task to the crash that it causes.
+const defaultCrashDelay = 10 * time.Millisecond
+
 // JobWorker is a fake worker that carries out run orders and reports to a run audit.
 // It is safe for concurrent use.
 type JobWorker struct {
 	audit    *RunAudit
 	state    pv.WorkerState
-	runTime  time.Duration // duration of a run
+	runTime  time.Duration // duration of a run without a function of SetRunTimes
 	stopTime time.Duration // delay between a stop order and the run's end
+	sizeOf   func(pv.TaskRef) pv.Resources
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -42,15 +56,36 @@
 	lapsed          map[int64]bool // run ends, by RunEnd.Sequence, that were unacknowledged when the lease ended
 	lastEndSequence int64
 	changed         chan struct{}
-	usedMilliCores  int64
-	milliCoresOf    func(pv.TaskRef) int64
+	used            pv.Resources // by runs whose end isn't listed
+	capacities      []formerCapacity
+	crashes         WorkerCrashes
+	reset           chan struct{} // closed when a task crashes the worker: ends the calls in progress
+	runTimeOf       func(pv.TaskRef) time.Duration
+}
+
+// formerCapacity is a capacity that the worker had before a change.
+type formerCapacity struct {
+	resources pv.Resources
+	changedAt time.Time
 }
 
+// shrinkDelay is the time from a change of a worker's capacity until a start may rely
+// on the former capacity no longer: the platform's contactMs and a heartbeat.
+const shrinkDelay = 4*time.Second + time.Second
+
 type activeRun struct {
 	startedAt time.Time
+	duration  time.Duration // 0 is until it is stopped
 	stopping  bool
 }
 
+func (r *activeRun) progressPercent() int {
+	if r.duration == 0 {
+		return 100
+	}
+	return int(100 * time.Since(r.startedAt) / r.duration)
+}
+
 const (
 	maxLeaseDuration = 6 * time.Second // maximum lease, counted from the poll or start order that extends it
 	minOrderDelay    = 2 * time.Second // minimum delay of an order that is not answered
@@ -60,19 +95,70 @@
 var (
 	errNoWorker = errors.New("worker unreachable: down, or another worker at its address")
 	errNoAnswer = errors.New("worker did not answer; the order is carried out later")
+	errReset    = errors.New("connection reset: the worker crashed")
 	errLost     = errors.New("the worker's answer was lost; the order has been carried out")
 	errFenced   = errors.New("order fenced: the worker has seen a higher fencing token")
 )
 
-// NewJobWorker returns a worker whose runs take runTime. The function milliCoresOf
-// returns a task's size in millicores; nil disables the check of the worker's
-// capacity.
-func NewJobWorker(state pv.WorkerState, audit *RunAudit, runTime time.Duration, seed uint64, milliCoresOf func(pv.TaskRef) int64) *JobWorker {
-	r := &JobWorker{state: state, audit: audit, runTime: runTime, stopTime: 200 * time.Millisecond, random: rand.New(rand.NewPCG(seed, seed)), milliCoresOf: milliCoresOf}
+// NewJobWorker returns a worker whose runs take runTime. The function sizeOf returns
+// what a task counts against the worker's capacity, for a filler no cores; nil disables
+// the check of the capacity.
+func NewJobWorker(state pv.WorkerState, audit *RunAudit, runTime time.Duration, seed uint64, sizeOf func(pv.TaskRef) pv.Resources) *JobWorker {
+	r := &JobWorker{state: state, audit: audit, runTime: runTime, stopTime: 200 * time.Millisecond, random: rand.New(rand.NewPCG(seed, seed)), sizeOf: sizeOf}
 	r.startIncarnation()
 	return r
 }
 
+// SetRunTimes sets a function that returns the duration of a task's runs; 0 is until
+// they are stopped.
+func (r *JobWorker) SetRunTimes(runTimeOf func(pv.TaskRef) time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runTimeOf = runTimeOf
+}
+
+// SetCrashes sets the tasks that crash the worker.
+func (r *JobWorker) SetCrashes(c WorkerCrashes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes = c
+}
+
+// SetCapacity changes the worker's capacity, which the next heartbeat shows. Runs that
+// no longer fit go on.
+func (r *JobWorker) SetCapacity(capacity pv.Resources) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.capacities = append(r.capacities, formerCapacity{r.state.Capacity, time.Now()})
+	r.state.Capacity = capacity
+}
+
+// capacityForStart returns the capacity that a start may use, by component: the largest
+// that the worker had since shrinkDelay before the start was ordered.
+func (r *JobWorker) capacityForStart(orderedAt time.Time) pv.Resources {
+	out := r.state.Capacity
+	for _, c := range r.capacities {
+		if orderedAt.Sub(c.changedAt) > shrinkDelay {
+			continue
+		}
+		out.MilliCores = max(out.MilliCores, c.resources.MilliCores)
+		out.MemoryMB = max(out.MemoryMB, c.resources.MemoryMB)
+		out.Accelerators = max(out.Accelerators, c.resources.Accelerators)
+	}
+	return out
+}
+
+// checkCapacity records a violation if a task that has just been added to the used
+// resources brings the worker over its capacity.
+func (r *JobWorker) checkCapacity(ref pv.RunRef, size pv.Resources, orderedAt time.Time) {
+	capacity := r.capacityForStart(orderedAt)
+	if size.MilliCores > 0 && r.used.MilliCores > capacity.MilliCores ||
+		size.MemoryMB > 0 && r.used.MemoryMB > capacity.MemoryMB ||
+		size.Accelerators > 0 && r.used.Accelerators > capacity.Accelerators {
+		r.audit.recordOverCapacity(ref, r.state.ID, r.used, capacity)
+	}
+}
+
 // SetFaults replaces the injected faults.
 func (r *JobWorker) SetFaults(f JobWorkerFaults) {
 	r.mu.Lock()
@@ -85,10 +171,10 @@
 	r.startedAt = time.Now()
 	r.state.Incarnation = r.startedAt.UnixMilli()
 	r.state.Sequence = 0
-	r.fencingToken, r.leaseEnd, r.lastEndSequence, r.usedMilliCores = 0, 0, 0, 0
+	r.fencingToken, r.leaseEnd, r.lastEndSequence, r.used = 0, 0, 0, pv.Resources{}
 	r.runs, r.highestAttempt, r.unacknowledged = map[pv.RunRef]*activeRun{}, map[pv.TaskRef]int{}, nil
 	r.lapsed = map[int64]bool{}
-	r.changed = make(chan struct{})
+	r.changed, r.reset = make(chan struct{}), make(chan struct{})
 	r.down = false
 }
 
@@ -101,13 +187,26 @@
 
 func (r *JobWorker) crash() {
 	for ref := range r.runs {
-		r.audit.recordEnd(ref, pv.EndVanished)
+		r.audit.recordCrash(ref)
 	}
 	clear(r.runs)
 	r.generation++
 	r.down = true
 }
 
+// crashByTask crashes the worker, ends the calls in progress, and schedules the return.
+func (r *JobWorker) crashByTask() {
+	r.crash()
+	close(r.reset)
+	c := r.crashes
+	r.afterInIncarnation(c.DownTime, func() {
+		if c.NewID != nil {
+			r.state.ID, r.state.Draining = c.NewID(), false
+		}
+		r.startIncarnation()
+	})
+}
+
 // Restart crashes the worker and starts a new incarnation under the same id.
 func (r *JobWorker) Restart() {
 	r.mu.Lock()
@@ -163,22 +262,28 @@
 	}
 }
 
-func (r *JobWorker) extendLease(end time.Duration) {
-	end = min(end, r.clock()+maxLeaseDuration)
-	if end <= r.leaseEnd {
-		return
-	}
-	r.leaseEnd = end
+// afterInIncarnation calls f, with r.mu held, after d unless the worker has crashed or
+// restarted meanwhile.
+func (r *JobWorker) afterInIncarnation(d time.Duration, f func()) {
 	generation := r.generation
-	time.AfterFunc(end-r.clock(), func() {
+	time.AfterFunc(d, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.generation == generation {
-			r.expireLease()
+			f()
 		}
 	})
 }
 
+func (r *JobWorker) extendLease(end time.Duration) {
+	end = min(end, r.clock()+maxLeaseDuration)
+	if end <= r.leaseEnd {
+		return
+	}
+	r.leaseEnd = end
+	r.afterInIncarnation(end-r.clock(), r.expireLease)
+}
+
 func (r *JobWorker) endRun(ref pv.RunRef, kind pv.EndKind) {
 	if _, ok := r.runs[ref]; !ok {
 		return
@@ -186,8 +291,8 @@
 	delete(r.runs, ref)
 	r.audit.recordEnd(ref, kind)
 	r.highestAttempt[ref.Task] = max(r.highestAttempt[ref.Task], ref.Attempt)
-	if r.milliCoresOf != nil {
-		r.usedMilliCores -= r.milliCoresOf(ref.Task)
+	if r.sizeOf != nil {
+		r.used = r.used.Sub(r.sizeOf(ref.Task))
 	}
 	r.lastEndSequence++
 	r.unacknowledged = append(r.unacknowledged, pv.RunEnd{Sequence: r.lastEndSequence, Run: ref, Kind: kind})
@@ -195,22 +300,15 @@
 	r.changed = make(chan struct{})
 }
 
-// delayOrder draws whether an order is delayed by an injected fault. If so, it
-// schedules execute and returns true, and the caller leaves the order unanswered.
-// A crash or restart discards delayed orders.
-func (r *JobWorker) delayOrder(execute func()) bool {
-	if r.random.Float64() >= r.faults.DelayedOrderFraction {
+// delayOrder draws whether an order is delayed by an injected fault, as the fraction of
+// orders is. If so, it schedules execute and returns true, and the caller leaves the
+// order unanswered. A crash or restart discards delayed orders.
+func (r *JobWorker) delayOrder(fraction float64, execute func()) bool {
+	if r.random.Float64() >= fraction {
 		return false
 	}
 	delay := minOrderDelay + time.Duration(r.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
-	generation := r.generation
-	time.AfterFunc(delay, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.generation == generation {
-			execute()
-		}
-	})
+	r.afterInIncarnation(delay, execute)
 	return true
 }
 
@@ -220,10 +318,20 @@
 	if r.faults.LostAnswerFraction == 0 || r.random.Float64() >= r.faults.LostAnswerFraction {
 		return false
 	}
+	r.awaitCaller(ctx)
+	return true
+}
+
+// awaitCaller waits until the caller of a call without an answer gives up, or a task
+// crashes the worker. The caller holds r.mu, which is released meanwhile.
+func (r *JobWorker) awaitCaller(ctx context.Context) {
+	reset := r.reset
 	r.mu.Unlock()
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-reset:
+	}
 	r.mu.Lock()
-	return true
 }
 
 // Poll implements persimmonvalve.WorkerClient.
@@ -238,9 +346,9 @@
 		}
 		if first {
 			apply := func() bool { return r.applyPoll(lease, acknowledged) }
-			if r.delayOrder(func() { apply() }) {
+			if r.delayOrder(r.faults.DelayedOrderFraction, func() { apply() }) {
+				r.awaitCaller(ctx)
 				r.mu.Unlock()
-				<-ctx.Done()
 				return pv.WorkerRuns{}, errNoAnswer
 			}
 			if !apply() {
@@ -254,15 +362,17 @@
 		}
 		out := pv.WorkerRuns{Incarnation: r.state.Incarnation, Clock: r.clock(), Ended: append([]pv.RunEnd(nil), r.unacknowledged...)}
 		for ref, run := range r.runs {
-			out.Running = append(out.Running, pv.RunStatus{Run: ref, ProgressPercent: int(100 * time.Since(run.startedAt) / r.runTime)})
+			out.Running = append(out.Running, pv.RunStatus{Run: ref, ProgressPercent: run.progressPercent()})
 		}
-		changed := r.changed
+		changed, reset := r.changed, r.reset
 		r.mu.Unlock()
 		if len(out.Ended) > 0 || wait == 0 {
 			return out, nil
 		}
 		select {
 		case <-changed:
+		case <-reset:
+			return pv.WorkerRuns{}, errReset
 		case <-timeout:
 			return out, nil
 		case <-ctx.Done():
@@ -297,10 +407,8 @@
 	if id != r.state.ID {
 		return pv.StartWrongWorker, nil
 	}
-	if r.delayOrder(func() { r.start(lease, order, orderedAt) }) {
-		r.mu.Unlock()
-		<-ctx.Done()
-		r.mu.Lock()
+	if r.delayOrder(max(r.faults.DelayedOrderFraction, r.faults.DelayedStartFraction), func() { r.start(lease, order, orderedAt) }) {
+		r.awaitCaller(ctx)
 		return pv.StartUnknown, errNoAnswer
 	}
 	answer := r.start(lease, order, orderedAt)
@@ -325,28 +433,32 @@
 	if order.Run.Attempt <= r.highestAttempt[order.Run.Task] {
 		return pv.StartStaleAttempt
 	}
-	r.audit.recordStart(order.Run, orderedAt)
-	r.runs[order.Run] = &activeRun{startedAt: time.Now()}
-	if r.milliCoresOf != nil {
-		r.usedMilliCores += r.milliCoresOf(order.Run.Task)
-		if r.usedMilliCores > r.state.Capacity.MilliCores {
-			r.audit.mu.Lock()
-			r.audit.addViolation("%v brings worker %s to %d of %d millicores", order.Run.Task, r.state.ID, r.usedMilliCores, r.state.Capacity.MilliCores)
-			r.audit.mu.Unlock()
-		}
+	crashes := r.crashes.Crashes != nil && r.crashes.Crashes(order.Run.Task)
+	r.audit.recordStart(order.Run, orderedAt, crashes)
+	run := &activeRun{startedAt: time.Now(), duration: r.runTime}
+	if r.runTimeOf != nil {
+		run.duration = r.runTimeOf(order.Run.Task)
+	}
+	r.runs[order.Run] = run
+	if r.sizeOf != nil {
+		size := r.sizeOf(order.Run.Task)
+		r.used = r.used.Add(size)
+		r.checkCapacity(order.Run, size, orderedAt)
 	}
 	kind := pv.EndSucceeded
 	if r.random.Float64() < r.faults.FailedRunFraction {
 		kind = pv.EndFailed
 	}
-	generation := r.generation
-	time.AfterFunc(r.runTime, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if run, ok := r.runs[order.Run]; ok && r.generation == generation && !run.stopping {
-			r.endRun(order.Run, kind)
-		}
-	})
+	if run.duration > 0 {
+		r.afterInIncarnation(run.duration, func() {
+			if r.runs[order.Run] == run && !run.stopping {
+				r.endRun(order.Run, kind)
+			}
+		})
+	}
+	if crashes {
+		r.afterInIncarnation(cmp.Or(r.crashes.Delay, defaultCrashDelay), r.crashByTask)
+	}
 	return pv.StartAccepted
 }
 
@@ -357,10 +469,8 @@
 	if r.down || id != r.state.ID {
 		return errNoWorker
 	}
-	if r.delayOrder(func() { r.stop(lease, ref) }) {
-		r.mu.Unlock()
-		<-ctx.Done()
-		r.mu.Lock()
+	if r.delayOrder(r.faults.DelayedOrderFraction, func() { r.stop(lease, ref) }) {
+		r.awaitCaller(ctx)
 		return errNoAnswer
 	}
 	if !r.stop(lease, ref) {
@@ -383,14 +493,7 @@
 		return true
 	}
 	run.stopping = true
-	generation := r.generation
-	time.AfterFunc(r.stopTime, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.generation == generation {
-			r.endRun(ref, pv.EndStopped)
-		}
-	})
+	r.afterInIncarnation(r.stopTime, func() { r.endRun(ref, pv.EndStopped) })
 	return true
 }
 
--- a/standin/run_audit.go
+++ b/standin/run_audit.go
@@ -22,6 +22,8 @@
 	startCount   int
 	predecessors func(pv.TaskRef) []pv.TaskRef // tasks that must succeed first; may be nil
 	succeeded    map[pv.TaskRef]bool           // a run succeeded, acknowledged or not
+	crashCount   map[pv.TaskRef]int            // crashes of workers while the task ran there
+	lateStarts   map[pv.TaskRef]int            // starts of a task that crashes its workers, after maxCrashes crashes
 }
 
 // NewRunAudit returns an empty audit. The function predecessors returns the
@@ -30,6 +32,7 @@
 	return &RunAudit{
 		runningCount: map[pv.TaskRef]int{}, acknowledged: map[pv.TaskRef]bool{}, startedJobs: map[pv.JobID]bool{},
 		cancelledAt: map[pv.JobID]time.Time{}, predecessors: predecessors, succeeded: map[pv.TaskRef]bool{},
+		crashCount: map[pv.TaskRef]int{}, lateStarts: map[pv.TaskRef]int{},
 	}
 }
 
@@ -78,6 +81,14 @@
 	return n
 }
 
+// CrashCount returns the number of workers that crashed, for whatever reason, while they
+// ran the task.
+func (a *RunAudit) CrashCount(t pv.TaskRef) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.crashCount[t]
+}
+
 // RecordCancellation records that a job's cancellation was acknowledged.
 func (a *RunAudit) RecordCancellation(id pv.JobID) {
 	a.mu.Lock()
@@ -91,10 +102,23 @@
 // start orders for the job's tasks are no violation.
 const cancellationGrace = 3 * time.Second
 
-func (a *RunAudit) recordStart(r pv.RunRef, orderedAt time.Time) {
+// A task that crashes its workers may be started fewer than maxLateStarts times after
+// maxCrashes workers have crashed under it.
+const (
+	maxCrashes    = 3
+	maxLateStarts = 3
+)
+
+func (a *RunAudit) recordStart(r pv.RunRef, orderedAt time.Time, crashesWorker bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.startCount++
+	if crashesWorker && a.crashCount[r.Task] >= maxCrashes {
+		a.lateStarts[r.Task]++
+		if a.lateStarts[r.Task] == maxLateStarts {
+			a.addViolation("%v attempt %d is start %d after %d workers had crashed under the task", r.Task, r.Attempt, maxLateStarts, maxCrashes)
+		}
+	}
 	a.startedJobs[r.Task.Job] = true
 	if a.runningCount[r.Task] > 0 {
 		a.addViolation("%v attempt %d starts beside another run", r.Task, r.Attempt)
@@ -124,6 +148,20 @@
 	}
 }
 
+// recordCrash records that a worker has crashed while it ran r.
+func (a *RunAudit) recordCrash(r pv.RunRef) {
+	a.recordEnd(r, pv.EndVanished)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crashCount[r.Task]++
+}
+
+func (a *RunAudit) recordOverCapacity(r pv.RunRef, worker pv.WorkerID, used, capacity pv.Resources) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.addViolation("%v attempt %d brings worker %s to %v, over its capacity of %v", r.Task, r.Attempt, worker, used, capacity)
+}
+
 func (a *RunAudit) recordAcknowledged(e pv.RunEnd) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
