Planner: give up tasks that crash the workers that start them

Cause: a run that was lost with its worker counted as nothing, so its task waited for another worker without end. A task reached attempt 31 under one leader, so the count wasn't lost between leaders.

Now the runs that a worker had accepted last when it stopped answering are suspected, and once its crash is proved it is counted in their tasks' records. A suspected task starts alone, on the least loaded worker, so that a second crash right after its start convicts it and not its victims: these had been assigned again with it at the same moment. A task whose job fails this way has crashed two workers; it starts no more. A supervisor keeps such evidence for the next leader, since the worker may be back before one is linked. A start whose answer was cut off with the worker's connections counts as accepted.

The stand-in leaves starts unanswered on a worker that is down, as it does polls: its immediate answer "unknown" looked like a connection that breaks on a start.

--- a/gateway/seeds_test.go
+++ b/gateway/seeds_test.go
@@ -14,6 +14,12 @@
 
 // siteSeeds returns the first seed and the number of seeds to run.
 func siteSeeds(t *testing.T) (first, count uint64) {
+	t.Helper()
+	return siteSeedsOr(t, defaultRuns)
+}
+
+// siteSeedsOr is siteSeeds with another default of the number.
+func siteSeedsOr(t *testing.T, runs uint64) (first, count uint64) {
 	t.Helper()
 	read := func(name string, fallback uint64) uint64 {
 		text := os.Getenv(name)
@@ -26,5 +32,5 @@
 		}
 		return n
 	}
-	return read("PVALVE_SITE_SEED", defaultSeed), read("PVALVE_SITE_RUNS", defaultRuns)
+	return read("PVALVE_SITE_SEED", defaultSeed), read("PVALVE_SITE_RUNS", runs)
 }
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -143,14 +143,14 @@
 	report := messenger.DecodeReport(r)
 	// A process also reports deregistrations of its former workers; they don't replace
 	// its current one.
-	if p.worker != report.Worker.ID && !(report.Deregistered && p.worker != "") {
+	if !report.Former && p.worker != report.Worker.ID && !(report.Deregistered && p.worker != "") {
 		if p.worker != "" {
 			p.term.planner.Disconnect(p.worker)
 		}
 		p.worker = report.Worker.ID
 		p.term.planner.Connect(now, p.worker)
 	}
-	out := planner.Report{Worker: report.Worker, Deregistered: report.Deregistered, FencingToken: report.FencingToken, Absent: report.Absent, Unanswered: report.Unanswered}
+	out := planner.Report{Worker: report.Worker, Deregistered: report.Deregistered, FencingToken: report.FencingToken, Absent: report.Absent, Unanswered: report.Unanswered, RecentStarts: report.RecentStarts, BrokeOnStart: report.BrokeOnStart, Former: report.Former}
 	if report.Polled {
 		out.Poll = &planner.PollResult{Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, EndsAbove: report.EndsAbove}
 	}
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -22,6 +22,8 @@
 	EndsAbove    int64       // Runs.Ended holds all unacknowledged ends with a higher sequence number
 	Unanswered   bool        // the worker has stopped answering polls
 	RecentStarts []pv.RunRef // if Unanswered: runs that it had accepted shortly before
+	BrokeOnStart bool        // if Unanswered: its connections broke right after a start
+	Former       bool        // another worker or incarnation has replaced this one since
 }
 
 func encodeRun(r pv.RunRef) *wire.Run {
@@ -61,7 +63,7 @@
 			return &wire.RunEnd{Number: e.Sequence, Run: encodeRun(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint}
 		}),
 		Gone: mapSlice(r.Absent, encodeRun), EndsAfter: r.EndsAbove, Address: encodeAddress(w.Address),
-		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, encodeRun),
+		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, encodeRun), Former: r.Former, BrokeOnStart: r.BrokeOnStart,
 	}
 }
 
@@ -103,7 +105,7 @@
 			}),
 		},
 		Absent: mapSlice(r.Gone, decodeRun), EndsAbove: r.EndsAfter,
-		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, decodeRun),
+		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, decodeRun), Former: r.Former, BrokeOnStart: r.BrokeOnStart,
 	}
 }
 
--- a/planner/job.go
+++ b/planner/job.go
@@ -56,6 +56,8 @@
 	run              *run
 	avoidWorker      pv.WorkerID // on which the task failed last
 	migrated         bool        // a task is migrated at most once
+	suspected        bool        // it may have crashed a worker whose crash isn't proved
+	startCrashes     int         // workers that crashed on its start
 	waitingSince     time.Time   // first placement pass that considered the task; zero while it runs, and for gangs
 }
 
@@ -67,8 +69,12 @@
 	incarnation     int64
 	committed       bool // its record is stored, so that the start may be sent
 	stopping        bool
-	stopReason      string // why it was ordered to stop
-	observed        bool   // the worker has reported it, running or ended
+	stopReason      string    // why it was ordered to stop
+	observed        bool      // the worker has reported it, accepted, running or ended
+	observedAt      time.Time // when a poll first listed it as running
+	brokeOnStart    bool      // its worker's connections broke right after it, or another run, was accepted
+	suspected       bool      // accepted shortly before the worker stopped answering
+	leaving         bool      // its worker drained or deregistered
 	progressPercent int
 	usedMilliCores  int64 // of a filler, in the last half second
 	assignedAt      time.Time
--- a/planner/place.go
+++ b/planner/place.go
@@ -59,6 +59,9 @@
 				(!fleetIdle || now.Sub(t.waitingSince) < maxFillerWait || rs.step.job.inProgress(now)) {
 				break
 			}
+			if w == nil && t.startsAlone() {
+				continue // other tasks may fit where this one can't start alone
+			}
 			if w == nil {
 				unplaceable[requirementsOf(rs.step)] = rs.step.spec.MaxPerWorker == 0 && t.avoidWorker == ""
 				break
@@ -136,7 +139,10 @@
 // fits reports whether the task may run on the worker.
 func (w *worker) fits(t *task) bool {
 	s := t.step
-	if w.state.Service != s.job.queue.Service || t.avoidWorker == w.state.ID {
+	if w.state.Service != s.job.queue.Service || t.avoidWorker == w.state.ID || w.probation != nil {
+		return false
+	}
+	if t.startsAlone() && !w.mayStartAlone() {
 		return false
 	}
 	if s.spec.RequiredLabel != "" && !slices.Contains(w.state.Labels, s.spec.RequiredLabel) {
@@ -215,13 +221,17 @@
 	var bestScore float64
 	noRackBonus := t.step.spec.Filler && t.step.spec.DataRack == "" && !t.step.spec.SameRack
 	for _, w := range workers {
-		if noRackBonus && best != nil && w.fillerCoreShare(t.step.spec.Size.MilliCores) <= bestScore {
+		if noRackBonus && !t.startsAlone() && best != nil && w.fillerCoreShare(t.step.spec.Size.MilliCores) <= bestScore {
 			continue // a filler's score is at most its core share; skip the costlier estimate
 		}
 		if !w.fits(t) {
 			continue
 		}
-		if score := p.score(w, t.step); best == nil || score > bestScore {
+		score := p.score(w, t.step)
+		if t.startsAlone() {
+			score = -w.reserved.DominantShare(w.state.Capacity) // little is lost if the worker crashes
+		}
+		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -236,6 +246,9 @@
 	t.attempt, t.waitingSince = attempt, time.Time{}
 	r := &run{task: t, attempt: attempt, worker: w, incarnation: w.state.Incarnation, assignedAt: now}
 	p.addRun(r)
+	if t.startsAlone() {
+		w.probation = r
+	}
 	p.newRuns = append(p.newRuns, r)
 	p.markTaskDirty(t)
 	p.addEvent(Event{Kind: "run assigned", Job: t.step.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Incarnation: r.incarnation, FencingToken: w.fencingToken, ReportAge: now.Sub(w.clockReceivedAt), Reason: kindOf(t.step.spec)})
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -211,7 +211,7 @@
 func (p *Planner) Tick(now time.Time) {
 	for _, w := range p.workers {
 		if len(w.runs) > 0 && w.lapsed(now, p.settings) {
-			p.endVanishedRuns(now, w, "leaseLapsed")
+			p.endLapsedRuns(now, w)
 		}
 	}
 	if now.Sub(p.lastExpiryAt) > time.Second {
@@ -268,13 +268,17 @@
 	}
 }
 
-// endVanishedRuns ends all runs of a worker that provably runs none of them. Its
-// supervisor may still hold orders to start them; it gets stops for them no later than
-// the next lease renewal.
-func (p *Planner) endVanishedRuns(now time.Time, w *worker, reason string) {
+// endLapsedRuns ends all runs of a worker whose lease has lapsed. Its supervisor may
+// still hold orders to start them; it gets stops for them no later than the next lease
+// renewal.
+func (p *Planner) endLapsedRuns(now time.Time, w *worker) {
 	for _, r := range w.runs {
 		w.unsentStops = append(w.unsentStops, r)
-		p.finishRun(now, r, pv.EndVanished, "", reason)
+		if r.suspected && !r.leaving {
+			w.lapsedRuns = append(w.lapsedRuns, r)
+			r.task.suspected = true
+		}
+		p.finishRun(now, r, pv.EndVanished, "", "leaseLapsed")
 	}
 }
 
--- a/planner/record.go
+++ b/planner/record.go
@@ -84,15 +84,16 @@
 var tasksApart = json.RawMessage(`"apart"`)
 
 type taskRecord struct {
-	Step        int         `json:"step,omitempty"` // position among the steps of all occurrences; only in records of earlier versions
-	Index       int         `json:"index"`          // of the task in its step
-	Attempt     int         `json:"attempt"`
-	Failures    int         `json:"failures,omitempty"`
-	Finished    bool        `json:"done,omitempty"`
-	Worker      pv.WorkerID `json:"worker,omitempty"`  // of a run that may exist
-	Incarnation int64       `json:"life,omitempty"`    // of that worker
-	Address     string      `json:"address,omitempty"` // of that worker
-	Checkpoint  string      `json:"checkpoint,omitempty"`
+	Step         int         `json:"step,omitempty"` // position among the steps of all occurrences; only in records of earlier versions
+	Index        int         `json:"index"`          // of the task in its step
+	Attempt      int         `json:"attempt"`
+	Failures     int         `json:"failures,omitempty"`
+	Finished     bool        `json:"done,omitempty"`
+	Worker       pv.WorkerID `json:"worker,omitempty"`  // of a run that may exist
+	Incarnation  int64       `json:"life,omitempty"`    // of that worker
+	Address      string      `json:"address,omitempty"` // of that worker
+	Checkpoint   string      `json:"checkpoint,omitempty"`
+	StartCrashes int         `json:"startCrashes,omitempty"` // of workers on the task's start
 }
 
 // records returns the records to store for the job's current state.
@@ -140,7 +141,7 @@
 		if t.attempt == 0 {
 			continue
 		}
-		r := taskRecord{Index: t.index, Attempt: t.attempt, Failures: t.failures, Finished: t.finished}
+		r := taskRecord{Index: t.index, Attempt: t.attempt, Failures: t.failures, Finished: t.finished, StartCrashes: t.startCrashes}
 		if !t.finished {
 			r.Checkpoint = t.checkpoint
 		}
@@ -277,6 +278,7 @@
 			s.storedGroups[groupOf(t)] = true
 		}
 		t.attempt, t.failures, t.checkpoint, t.storedCheckpoint = r.Attempt, r.Failures, r.Checkpoint, r.Checkpoint
+		t.startCrashes = r.StartCrashes
 		if r.Finished {
 			t.markFinished()
 		}
--- a/planner/report.go
+++ b/planner/report.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	pv "persimmonvalve"
@@ -26,6 +27,9 @@
 	Absent       []pv.RunRef // not on the worker, and can't start there any more under FencingToken or an earlier one
 	Poll         *PollResult // nil when the worker has not answered a poll under FencingToken
 	Unanswered   bool        // the worker has stopped answering polls
+	RecentStarts []pv.RunRef // if Unanswered: the runs that it had accepted shortly before
+	BrokeOnStart bool        // if Unanswered: the worker's connections broke right after it had accepted one of them
+	Former       bool        // another worker or incarnation has replaced this one since; only RecentStarts applies
 }
 
 // Connect records that a worker's supervisor is connected to this leader.
@@ -43,6 +47,12 @@
 
 // Report applies the report of a supervisor.
 func (p *Planner) Report(now time.Time, r Report) {
+	if w, ok := p.workers[r.Worker.ID]; ok {
+		w.suspectRecentStarts(r)
+	}
+	if r.Former {
+		return
+	}
 	w := p.worker(now, r.Worker.ID)
 	if r.Worker.Incarnation < w.state.Incarnation && w.stateKnown {
 		return // of an earlier incarnation
@@ -65,6 +75,9 @@
 	if r.Unanswered || len(r.Absent) > 0 && r.Poll == nil {
 		w.unanswering = true // the supervisor would report new runs as absent, again and again
 	}
+	if r.Worker.Draining || r.Deregistered {
+		w.markLeaving()
+	}
 	if r.FencingToken != w.fencingToken {
 		return // the supervisor has not received the token for this leader and incarnation yet
 	}
@@ -91,9 +104,17 @@
 		}
 	}
 	w.deregisteredAt = now
+	w.markLeaving()
 	p.addEvent(Event{Kind: "worker departed", Worker: d.Worker, Incarnation: d.Incarnation, Reason: "leftInWriting"})
 }
 
+// markLeaving marks the runs of a worker that leaves as planned: its end is no crash.
+func (w *worker) markLeaving() {
+	for _, r := range w.runs {
+		r.leaving = true
+	}
+}
+
 func (p *Planner) applyPoll(now time.Time, w *worker, poll *PollResult) {
 	if w.clockReceivedAt.IsZero() {
 		// A former leader renewed the lease at most to LeaseDuration after its last
@@ -101,6 +122,7 @@
 		w.leaseEnd = max(w.leaseEnd, poll.Clock+p.settings.LeaseDuration)
 	}
 	w.clock, w.clockReceivedAt, w.unanswering = poll.Clock, now, false
+	w.lapsedRuns = slices.DeleteFunc(w.lapsedRuns, func(r *run) bool { return r.incarnation == w.state.Incarnation })
 	if poll.EndsAbove > w.appliedEnd {
 		// Earlier ends were reported to another leader only. Full orders make the
 		// supervisor report all ends.
@@ -119,7 +141,7 @@
 		if !ok {
 			continue // the supervisor stops runs that are not in its full orders
 		}
-		p.applyStatus(r, s)
+		p.applyStatus(now, r, s)
 	}
 	p.learnFromPoll(w, poll.Running)
 	if w.fencingTokenConfirmed {
@@ -130,11 +152,8 @@
 	// ended.
 	w.fencingTokenConfirmed = true
 	p.placementDue = true
-	for _, r := range w.runs {
-		if r.incarnation != w.state.Incarnation {
-			p.finishRun(now, r, pv.EndVanished, "", "workerRestarted")
-		}
-	}
+	p.endCrashedRuns(now, w, w.runsBefore(w.state.Incarnation), "workerRestarted")
+	p.settleLapsedRuns(now, w)
 	p.endReplacedWorkers(now, w)
 }
 
@@ -149,24 +168,22 @@
 		if o == w || o.state.Address != w.state.Address {
 			continue
 		}
-		for _, r := range o.runs {
-			if r.incarnation < w.state.Incarnation {
-				o.unsentStops = append(o.unsentStops, r)
-				p.finishRun(now, r, pv.EndVanished, "", "workerReplaced")
-			}
-		}
+		replaced := o.runsBefore(w.state.Incarnation)
+		o.unsentStops = append(o.unsentStops, replaced...)
+		p.endCrashedRuns(now, o, replaced, "workerReplaced")
+		p.settleLapsedRuns(now, o)
 	}
 }
 
 // applyStatus records the progress of a run. A listed run of an earlier incarnation
 // was started late on the current one; it continues as a run of the current one.
-func (p *Planner) applyStatus(r *run, s pv.RunStatus) {
+func (p *Planner) applyStatus(now time.Time, r *run, s pv.RunStatus) {
 	j := r.task.step.job
 	if r.incarnation != r.worker.state.Incarnation {
 		r.incarnation = r.worker.state.Incarnation
 		p.markTaskDirty(r.task)
 	}
-	r.observed = true
+	p.observeRun(now, r)
 	r.progressPercent = s.ProgressPercent
 	if r.task.step.spec.Filler {
 		r.usedMilliCores = s.Measured // Measured is in millicores
@@ -199,6 +216,7 @@
 	switch kind {
 	case pv.EndSucceeded:
 		r.worker.consecutiveFailures = 0
+		p.endSuspicion(t)
 		if !s.spec.Standing {
 			p.finishTask(now, t)
 		}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -38,6 +38,8 @@
 	unanswering           bool // its supervisor reported no answer since the last poll result
 
 	runs              map[pv.RunRef]*run
+	probation         *run                     // of a suspected task; until it ends, the worker gets no other runs
+	lapsedRuns        []*run                   // ended by the lapse of the lease; a crash isn't proved yet
 	reserved          pv.Resources             // by runs; fillers reserve no cores
 	fillerMilliCores  int64                    // size of all fillers
 	servingRuns       int                      // runs with a latency target
@@ -129,6 +131,9 @@
 func (p *Planner) removeRun(r *run) {
 	w := r.worker
 	delete(w.runs, r.ref())
+	if w.probation == r {
+		w.probation = nil
+	}
 	r.task.run = nil
 	r.task.step.job.openRuns--
 	w.adjustReserved(r.task.step.spec, -1)
--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -401,8 +401,11 @@
 	orderedAt := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.down {
-		return pv.StartUnknown, errNoWorker
+	if r.down { // like a host without power, it leaves calls unanswered
+		r.mu.Unlock()
+		<-ctx.Done()
+		r.mu.Lock()
+		return pv.StartUnknown, ctx.Err()
 	}
 	if id != r.state.ID {
 		return pv.StartWrongWorker, nil
--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -237,14 +238,19 @@
 	case pv.StartAccepted:
 		r.phase, r.phasePoll, r.acceptedAt = started, v.pollNumber, time.Now()
 		v.limitNewFiller(r.order)
-		if v.pollFailing {
-			v.reportUnanswered()
+	case pv.StartUnknown:
+		r.nextCallAt = time.Now().Add(startRetryInterval)
+		if !errors.Is(err, context.DeadlineExceeded) {
+			r.acceptedAt = time.Now() // the connection broke, perhaps as the worker crashed on this start
 		}
-	case pv.StartNotSent, pv.StartUnknown, pv.StartFenced, pv.StartLeaseExpired:
+	case pv.StartNotSent, pv.StartFenced, pv.StartLeaseExpired:
 		r.nextCallAt = time.Now().Add(startRetryInterval)
 	default:
 		v.stopRun(c.order.Run, string(answer))
 	}
+	if v.pollFailing {
+		v.reportUnanswered()
+	}
 }
 
 func (v *Supervisor) handleStop(c call, err error) {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -34,7 +34,7 @@
 	stopPending  bool      // a stop call is in progress
 	limitPending bool      // a call that sets its CPU limit is in progress
 	nextCallAt   time.Time // when the next call is due
-	acceptedAt   time.Time // when the worker confirmed the start; zero before, and if only a poll did
+	acceptedAt   time.Time // when the worker confirmed the start or broke its connection; zero if neither
 	listed       bool      // a poll has listed it
 	reported     bool      // it has been reported as running
 	maybeSent    bool      // a start may have reached the worker
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,6 +113,10 @@
 	if err != nil {
 		if !v.pollFailing {
 			v.pollFailing = true
+			v.brokenAt = time.Time{}
+			if !errors.Is(err, context.DeadlineExceeded) {
+				v.brokenAt = time.Now()
+			}
 			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Stringers("startedShortlyBefore", v.recentStarts()), logfield.Error(err))
 			v.reportUnanswered()
 		}
@@ -221,9 +226,29 @@
 	return recent
 }
 
+// maxCrashDelay is the longest time between a start and the crash that it causes.
+const maxCrashDelay = 100 * time.Millisecond
+
+// brokeOnStart reports whether the worker's connections broke right after it had accepted
+// one of the runs.
+func (v *Supervisor) brokeOnStart(recent []pv.RunRef) bool {
+	for _, ref := range recent {
+		if since := v.brokenAt.Sub(v.runs[ref].acceptedAt); !v.brokenAt.IsZero() && since.Abs() < maxCrashDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// unansweredReport returns the report that the worker has stopped answering.
+func (v *Supervisor) unansweredReport() messenger.Report {
+	recent := v.recentStarts()
+	return messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Unanswered: true, RecentStarts: recent, BrokeOnStart: v.brokeOnStart(recent)}
+}
+
 // reportUnanswered reports that the worker has stopped answering.
 func (v *Supervisor) reportUnanswered() {
 	if v.canReport() {
-		v.link.Send(frame(messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Unanswered: true, RecentStarts: v.recentStarts()}))
+		v.link.Send(frame(v.unansweredReport()))
 	}
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -74,6 +74,7 @@
 	hasState             bool // a heartbeat has been received
 	deregistered         bool
 	formerWorkers        []pv.WorkerState       // deregistered, reported to new leaders
+	crashedWorkers       []messenger.Report     // on former workers that stopped answering, sent to new leaders
 	deregistrations      chan pv.Deregistration // read by the directory
 	lease                pv.WorkerLease
 	leaseIncarnation     int64     // that the lease applies to
@@ -90,6 +91,7 @@
 	pollNumber           int64
 	unverifiedSince      int64     // pollNumber when a call last failed; 0 once a later poll has succeeded
 	polledAt             time.Time // when this incarnation last answered a poll
+	brokenAt             time.Time // when the worker's connections broke, if the last poll failed for that
 	pollFailing          bool
 	throttler            throttler
 	stateUnsent          bool
@@ -140,6 +142,9 @@
 		}
 		v.stateUnsent = true
 		v.sendState()
+		for _, f := range v.crashedWorkers {
+			l.Send(frame(f))
+		}
 		if v.pollFailing {
 			v.reportUnanswered()
 		}
@@ -220,6 +225,11 @@
 			v.formerWorkers = v.formerWorkers[1:]
 		}
 	}
+	if last := v.unansweredReport(); v.pollFailing && len(last.RecentStarts) > 0 {
+		last.Former = true
+		v.crashedWorkers = append(v.crashedWorkers, last)
+		v.crashedWorkers = v.crashedWorkers[max(0, len(v.crashedWorkers)-maxFormerWorkers):]
+	}
 	v.logger.Info("supervisor: new worker incarnation", zap.String("worker", string(id)), zap.Int64("life", incarnation), zap.Int64("formerLife", v.state.Incarnation))
 	v.state.ID, v.state.Incarnation = id, incarnation
 	clear(v.runs)
