Messenger: one frame that can't be encoded no longer ends the link

What callers saw: a request for a job id such as %ff ended the gateway's link to the leader; all calls that waited on it were repeated or refused. Cause: protobuf refuses text that isn't UTF-8, and write took any error of MarshalTo for an error of the stream. Fix: such a frame is dropped alone. bufio.Writer keeps the stream's errors and Flush returns them.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -126,24 +126,21 @@
 }
 
 // write writes queued frames until the link ends. It flushes its buffer when the
-// queue is empty.
+// queue is empty. A frame that can't be encoded is dropped, so that it doesn't end the
+// link for the others; Flush returns the errors of the stream.
 func (l *Link) write() {
 	writer := bufio.NewWriterSize(l.stream, linkBufferBytes)
 	for {
 		select {
 		case f := <-l.outgoing:
-			if _, err := protodelim.MarshalTo(writer, f); err != nil {
-				return
-			}
+			_, _ = protodelim.MarshalTo(writer, f)
 		case <-l.done:
 			return
 		}
 		for more := true; more; {
 			select {
 			case f := <-l.outgoing:
-				if _, err := protodelim.MarshalTo(writer, f); err != nil {
-					return
-				}
+				_, _ = protodelim.MarshalTo(writer, f)
 			default:
 				more = false
 			}
