Callers: refuse ids that no job can have

What callers saw: a submission under an id that isn't UTF-8 was accepted and never ran, since its inbox record names another id when it is decoded; the cancellation of an id of more than 248 bytes was stored under a wrong key, since a key's length is one byte.

--- a/job.go
+++ b/job.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"time"
+	"unicode/utf8"
 )
 
 // JobID identifies a job. The caller chooses it; a repeated submission of the same
@@ -71,13 +72,26 @@
 	MaxJobPayloadBytes = 16 << 10
 )
 
+// Check validates the id; it returns the problem found, or an empty string. No job has
+// an id with a problem.
+func (id JobID) Check() string {
+	switch {
+	case id == "":
+		return "the job has no id"
+	case len(id) > MaxJobIDBytes:
+		return fmt.Sprintf("the id has %d bytes, the limit is %d", len(id), MaxJobIDBytes)
+	case !utf8.ValidString(string(id)):
+		return "the id isn't valid UTF-8" // records and frames can't hold it
+	}
+	return ""
+}
+
 // Check validates the job; it returns the first problem found, or an empty string.
 func (j *Job) Check() string {
+	if problem := j.ID.Check(); problem != "" {
+		return problem
+	}
 	switch {
-	case j.ID == "":
-		return "the job has no id"
-	case len(j.ID) > MaxJobIDBytes:
-		return fmt.Sprintf("the id has %d bytes, the limit is %d", len(j.ID), MaxJobIDBytes)
 	case len(j.Steps) == 0:
 		return "the job has no steps"
 	case len(j.Steps) > MaxJobSteps:
--- a/job_test.go
+++ b/job_test.go
@@ -16,3 +16,17 @@
 		}
 	}
 }
+
+// An id that isn't valid UTF-8 is refused: the job's record would name another job, and
+// the accepted job would never run.
+func TestJobIDEncoding(t *testing.T) {
+	for id, wantProblem := range map[pv.JobID]bool{"5c0e7a21d94b36f8": false, "a/ä": false, "a\xff": true, "\xc3": true} {
+		if got := id.Check(); (got != "") != wantProblem {
+			t.Errorf("id %q: got problem %q, want a problem: %t", id, got, wantProblem)
+		}
+		job := pv.Job{ID: id, Steps: []pv.Step{{Count: 1}}}
+		if got := job.Check(); (got != "") != wantProblem {
+			t.Errorf("job %q: got problem %q, want a problem: %t", id, got, wantProblem)
+		}
+	}
+}
