--- a/job.go
+++ b/job.go
@@ -70,6 +70,15 @@
 	MaxJobSteps        = 64
 	MaxJobTasks        = 10000 // over all steps and occurrences
 	MaxJobPayloadBytes = 16 << 10
+	MaxJobTextBytes    = 32 << 10  // payload and strings of all steps; JSON takes up to 6 bytes for one
+	MaxJobEncodedBytes = 240 << 10 // of the job as JSON; the store's records have at most 256 KiB
+)
+
+// Limits of the numbers of a job. Sums over the tasks of many jobs stay exact.
+const (
+	MaxResourceAmount = 1 << 40              // of each resource of one task
+	MaxJobDuration    = 366 * 24 * time.Hour // of a step's estimate and latency target
+	MaxJobSpan        = 100 * MaxJobDuration // from the first to the last due time
 )
 
 // Check validates the id; it returns the problem found, or an empty string. No job has
@@ -100,15 +109,27 @@
 		return fmt.Sprintf("the payload has %d bytes, the limit is %d", len(j.Payload), MaxJobPayloadBytes)
 	case j.Occurrences < 0 || j.Interval < 0:
 		return "repeats and interval can't be negative"
+	case j.Interval > MaxJobSpan/time.Duration(max(1, j.Occurrences)):
+		return fmt.Sprintf("the job repeats for longer than %v", MaxJobSpan)
 	}
-	tasks := 0
+	tasks, textBytes := 0, len(j.Payload)
 	for i, s := range j.Steps {
 		if s.Count < 1 || s.Count > MaxJobTasks {
 			return fmt.Sprintf("step %d has %d tasks, allowed are 1 to %d", i, s.Count, MaxJobTasks)
 		}
-		if s.Size.MilliCores < 0 || s.Size.MemoryMB < 0 || s.Size.Accelerators < 0 || s.MaxPerWorker < 0 || s.Estimate < 0 {
+		if s.Size.Negative() || s.MaxPerWorker < 0 || s.Estimate < 0 {
 			return fmt.Sprintf("step %d has a negative size", i)
 		}
+		if max(s.Size.MilliCores, s.Size.MemoryMB, s.Size.Accelerators, s.Size.Slots) > MaxResourceAmount {
+			return fmt.Sprintf("step %d has a size above %d", i, MaxResourceAmount)
+		}
+		if s.Estimate > MaxJobDuration || s.LatencyTarget < 0 || s.LatencyTarget > MaxJobDuration || s.MaxUnavailable < 0 {
+			return fmt.Sprintf("step %d has an estimate, latency target or tolerance that is out of range", i)
+		}
+		textBytes += len(s.RequiredLabel) + len(s.DataRack) + len(s.Image)
+		if len(s.After) > i {
+			return fmt.Sprintf("step %d names a step twice", i)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return fmt.Sprintf("step %d comes after step %d, which isn't an earlier one", i, a)
@@ -116,6 +137,9 @@
 		}
 		tasks += s.Count
 	}
+	if textBytes > MaxJobTextBytes {
+		return fmt.Sprintf("the payload and the texts of the steps have %d bytes, the limit is %d", textBytes, MaxJobTextBytes)
+	}
 	if tasks > MaxJobTasks/max(1, j.Occurrences) {
 		return fmt.Sprintf("the job has too many tasks, the limit is %d over all occurrences", MaxJobTasks)
 	}
--- a/job_test.go
+++ b/job_test.go
@@ -1,8 +1,11 @@
 package persimmonvalve_test
 
 import (
+	"encoding/json"
+	"math"
 	"strings"
 	"testing"
+	"time"
 
 	pv "persimmonvalve"
 )
@@ -30,3 +33,59 @@
 		}
 	}
 }
+
+// Numbers and lists that a caller chose freely: a long list of predecessors took the
+// leader's memory for each occurrence, also of every later leader, and sums of sizes and
+// times overflowed.
+func TestOddNumbersInJob(t *testing.T) {
+	const huge = math.MaxInt64
+	predecessors := make([]int, 10000) // 10,000 times step 0
+	for name, change := range map[string]func(*pv.Job){
+		"predecessors": func(j *pv.Job) { j.Steps[1].After = predecessors },
+		"milliCores":   func(j *pv.Job) { j.Steps[0].Size.MilliCores = huge },
+		"memory":       func(j *pv.Job) { j.Steps[0].Size.MemoryMB = huge },
+		"accelerators": func(j *pv.Job) { j.Steps[0].Size.Accelerators = huge },
+		"estimate":     func(j *pv.Job) { j.Steps[0].Estimate = huge },
+		"target":       func(j *pv.Job) { j.Steps[0].LatencyTarget = huge },
+		"no target":    func(j *pv.Job) { j.Steps[0].LatencyTarget = -1 },
+		"mayMiss":      func(j *pv.Job) { j.Steps[0].MaxUnavailable = -1 },
+		"interval":     func(j *pv.Job) { j.Occurrences, j.Interval = 2, huge },
+		"image":        func(j *pv.Job) { j.Steps[0].Image = strings.Repeat("x", 1<<16) },
+		"label":        func(j *pv.Job) { j.Steps[0].RequiredLabel = strings.Repeat("x", 1<<16) },
+		"rack":         func(j *pv.Job) { j.Steps[0].DataRack = strings.Repeat("x", 1<<16) },
+	} {
+		job := pv.Job{ID: "j", Steps: []pv.Step{{Count: 1}, {Count: 1, After: []int{0}}}}
+		if problem := job.Check(); problem != "" {
+			t.Fatalf("got %q for a sound job, want no problem", problem)
+		}
+		change(&job)
+		if job.Check() == "" {
+			t.Errorf("%s: got no problem, want one", name)
+		}
+	}
+}
+
+// A job whose record the store refuses would hold up the commits of every leader that has
+// it. The largest job fits into a record.
+func TestLargestJobFitsIntoRecord(t *testing.T) {
+	job := pv.Job{ID: pv.JobID(strings.Repeat("<", pv.MaxJobIDBytes)), Payload: strings.Repeat("<", pv.MaxJobPayloadBytes), FirstDue: time.Unix(0, 999999999), Interval: pv.MaxJobSpan / 10, Occurrences: 10}
+	for i := range pv.MaxJobSteps {
+		s := pv.Step{
+			Count: 15, Size: pv.Resources{MilliCores: pv.MaxResourceAmount, MemoryMB: pv.MaxResourceAmount, Accelerators: pv.MaxResourceAmount, Slots: pv.MaxResourceAmount},
+			Estimate: pv.MaxJobDuration, Checkpointable: true, Gang: true, SameRack: true, MaxPerWorker: math.MaxInt, Speculative: true, Standing: true,
+			LatencyTarget: pv.MaxJobDuration, Filler: true, MaxUnavailable: math.MaxInt,
+			Image: strings.Repeat("<", (pv.MaxJobTextBytes-pv.MaxJobPayloadBytes)/pv.MaxJobSteps),
+		}
+		for a := range i {
+			s.After = append(s.After, a)
+		}
+		job.Steps = append(job.Steps, s)
+	}
+	if problem := job.Check(); problem != "" {
+		t.Fatalf("got %q, want a valid job", problem)
+	}
+	data, err := json.Marshal(job)
+	if err != nil || len(data) > pv.MaxJobEncodedBytes || len(data) < pv.MaxJobEncodedBytes*9/10 {
+		t.Errorf("got %d bytes, %v, want at most %d and not much less", len(data), err, pv.MaxJobEncodedBytes)
+	}
+}
