Leader: no record in the leader topic can choose the epochs

What would be seen: one record of another writer in the leader topic that isn't valid JSON keeps every candidate from leading for good; one with the highest epoch makes the next one negative, which the store refuses; one with a low or without a value makes terms share an epoch, and an append of the one may pass for that of the other. Cause: the next epoch was that of the last claim + 1, whatever the record said. Fix: it is the offset of the claim + 1. Each claim takes one offset, on condition, so in a topic with claims alone the epochs are the same as before; another record only leaves an epoch out. A claim that can't be decoded is counted and logged. TestOddLeaderRecord failed before in all ten cases.

--- a/leader/claim.go
+++ b/leader/claim.go
@@ -2,9 +2,10 @@
 
 // This file defines how a candidate claims a term.
 //
-// A claim appends epoch = last epoch + 1 to the leader topic, on condition that the
-// topic still ends at the offset at which it was read, so no two terms share an
-// epoch. The epoch is a fencing token: after the first append to the jobs topic
+// A claim appends an epoch to the leader topic, on condition that the topic still ends
+// at the offset at which it was read. The epoch is that offset + 1, so no two terms share
+// an epoch, later terms have higher ones, and no record in the topic can choose them,
+// whoever wrote it. The epoch is a fencing token: after the first append to the jobs topic
 // under it, the store refuses all appends under lower epochs, so the jobs that are
 // read afterwards are final.
 
@@ -38,10 +39,14 @@
 
 // lastClaim is the newest claim of a term as it was read.
 type lastClaim struct {
-	record   leaderRecord
-	topicEnd pv.Offset // end of the leader topic when it was read
+	record   leaderRecord // zero if there is none, or invalid is set
+	invalid  bool         // the newest record can't be decoded
+	topicEnd pv.Offset    // end of the leader topic when it was read
 }
 
+// highestEpoch returns the highest epoch that can have been claimed.
+func (l lastClaim) highestEpoch() int64 { return int64(l.topicEnd) }
+
 func readClaim(ctx context.Context, store pv.Store) (lastClaim, error) {
 	page, err := store.Newest(ctx, leaderTopic, "")
 	if err != nil {
@@ -53,7 +58,7 @@
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &last.record); err != nil {
-			return lastClaim{}, Error.New("leader record is not valid JSON: %w", err)
+			last.record, last.invalid = leaderRecord{}, true
 		}
 	}
 	return last, nil
@@ -67,7 +72,7 @@
 	confirmedAt time.Duration    // clock reading at the start of the last append; the store may have applied it as early as that
 }
 
-// claim claims the epoch after the last claim and reads the jobs topic. It fails if
+// claim claims the next epoch and reads the jobs topic. It fails if
 // another process has claimed the epoch.
 func claim(ctx context.Context, store pv.Store, clock func() time.Duration, last lastClaim, node, incarnationID string) (claimedTerm, error) {
 	epoch, err := claimEpoch(ctx, store, last, node, incarnationID)
@@ -132,10 +137,10 @@
 	return []pv.KeyedRecord{{Key: heartbeatKey, Value: value}}
 }
 
-// claimEpoch appends the claim of the epoch after the last claim to the leader topic,
-// and returns the epoch. It repeats the append until the store decides.
+// claimEpoch appends the claim of the next epoch to the leader topic, and returns the
+// epoch. It repeats the append until the store decides.
 func claimEpoch(ctx context.Context, store pv.Store, last lastClaim, node, incarnationID string) (int64, error) {
-	claimed := leaderRecord{Epoch: last.record.Epoch + 1, Node: node, IncarnationID: incarnationID}
+	claimed := leaderRecord{Epoch: last.highestEpoch() + 1, Node: node, IncarnationID: incarnationID}
 	value, err := json.Marshal(claimed)
 	if err != nil {
 		return 0, Error.Wrap(err)
--- a/leader/claim_test.go
+++ b/leader/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -164,3 +165,45 @@
 		}
 	})
 }
+
+// A record of another writer in the leader topic: one that couldn't be decoded kept every
+// candidate from leading, one with a huge epoch made the next one negative, and one with
+// a low epoch let two terms share an epoch.
+func TestOddLeaderRecord(t *testing.T) {
+	for name, value := range map[string]string{
+		"not JSON": "\xff\xfe", "other type": `[1]`, "epoch of another type": `{"epoch":"7"}`, "too large": `{"epoch":9223372036854775808}`,
+		"highest": `{"epoch":9223372036854775807}`, "high": `{"epoch":1125899906842624}`, "low": `{"epoch":1}`, "negative": `{"epoch":-5}`,
+		"deep": `{"epoch":` + strings.Repeat("[", 100000) + strings.Repeat("]", 100000) + `}`, "deleted": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				store := standin.NewKeyedStore(1)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				lead := func(node string) int64 {
+					last, err := readClaim(ctx, store.ClientFor(node))
+					if err != nil {
+						t.Fatal(err)
+					}
+					claimed, err := claim(ctx, store.ClientFor(node), sinceNow(), last, node, "boot")
+					if err != nil {
+						t.Fatal(err)
+					}
+					return claimed.epoch
+				}
+				lead("a")
+				before := lead("b")
+				if err := store.ClientFor("x").Put(ctx, leaderTopic, []pv.KeyedRecord{{Key: leaderKey, Value: []byte(value)}}); err != nil {
+					t.Fatal(err)
+				}
+				for range 2 {
+					if got := lead("c"); got <= before || got > before+2 {
+						t.Errorf("got epoch %d after %d, want the next or the one after it", got, before)
+					} else {
+						before = got
+					}
+				}
+			})
+		})
+	}
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -187,9 +187,13 @@
 	if err != nil {
 		return false, err
 	}
+	if last.invalid {
+		c.leader.metrics.undecodable.WithLabelValues(string(leaderTopic)).Inc()
+		c.leader.deps.Logger.Warn("leader: the newest claim can't be decoded; the next epoch doesn't depend on it", zap.Int64("topicEnd", int64(last.topicEnd)))
+	}
 	c.last = last
 	wait := c.timeouts().noAppend
-	if s := c.leader.deps.LeaderStatus(); s.SteppedDown && last.record.Epoch <= s.Epoch {
+	if s := c.leader.deps.LeaderStatus(); s.SteppedDown && last.highestEpoch() <= s.Epoch {
 		wait = 0 // the leader that stepped down appends no more, and no later term has been claimed
 	}
 	watchCtx, cancelWatch := context.WithTimeout(ctx, wait+storeReadTimeout)
