Directory: a record counts only with values that a member can have

What would be seen: one record of another writer in the members topic with 1e308 cores made no candidate preferred, so every change of leader took longer; one with port 0 or the unspecified address was dialled for good; thousands of deregistrations in a record were applied with each change of any member. Cause: the scan of candidates checked neither the key nor the address of a record, and no reader checked its numbers. Fix: decodeMember, which both readers use. TestOddMemberRecords failed before with six of its twelve records, and TestManyDeregistrationsInRecord with 5,000 deregistrations instead of 8.

--- a/leader/directory.go
+++ b/leader/directory.go
@@ -31,6 +31,7 @@
 	reannounceDelay                = 3 * time.Second        // see NewDirectory; longer than a change of leader takes
 	candidateScanInterval          = 10 * time.Second       // between scans for stronger candidates; machines change rarely
 	maxDeregistrations             = 8                      // in a member's record
+	maxMemberCores                 = 4096                   // of a valid member
 	membersReadWait                = 5 * time.Second        // of one long poll; a connection that went silent is detected after it
 )
 
@@ -72,8 +73,7 @@
 	}
 	maxCores := 0.0
 	for _, r := range records {
-		var m Member
-		if len(r.Value) > 0 && json.Unmarshal(r.Value, &m) == nil && m.NearStore && m.Candidate {
+		if m, ok := decodeMember(r); ok && m.NearStore && m.Candidate {
 			maxCores = max(maxCores, m.Cores)
 		}
 	}
@@ -172,6 +172,24 @@
 	}
 }
 
+// decodeMember decodes a member's record and reports whether it names a member. Any
+// process may write to the topic, so a record's numbers must not decide more than those
+// of a member could.
+func decodeMember(r pv.KeyedRecord) (Member, bool) {
+	var m Member
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return Member{}, false
+	}
+	if m.Node != r.Key || m.Cores < 0 || m.Cores > maxMemberCores {
+		return Member{}, false
+	}
+	if ip := m.Address.Addr(); !ip.IsValid() || ip.IsUnspecified() || ip.IsMulticast() || m.Address.Port() == 0 {
+		return Member{}, false
+	}
+	m.Deregistered = m.Deregistered[max(0, len(m.Deregistered)-maxDeregistrations):]
+	return m, true
+}
+
 // Follow calls changed with all members at the start and after every change, and
 // invalid with the key of each record that names no member, until the context ends.
 func (d *Directory) Follow(ctx context.Context, clock func() time.Duration, invalid func(key string), changed func([]Member)) {
@@ -183,10 +201,9 @@
 			return
 		}
 		for _, r := range records {
-			var m Member
 			if len(r.Value) == 0 {
 				delete(members, r.Key)
-			} else if err := json.Unmarshal(r.Value, &m); err != nil || m.Node != r.Key || !m.Address.IsValid() {
+			} else if m, ok := decodeMember(r); !ok {
 				d.logger.Warn("directory: invalid member record ignored", zap.String("key", r.Key))
 				invalid(r.Key)
 			} else {
--- a/leader/directory_test.go
+++ b/leader/directory_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -133,3 +134,120 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// One odd record among those of the members: numbers and addresses that no member has
+// decided which candidate is preferred, and which addresses a leader dials. The sound
+// members count, in the first read and in those that follow.
+func TestOddMemberRecords(t *testing.T) {
+	sound, err := json.Marshal(Member{Node: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Candidate: true, NearStore: true, Cores: 0.5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const rest = `,"near":true,"candidate":true`
+	for name, value := range map[string]string{
+		"deep":                `{"node":"odd","address":"10.0.0.2:80","x":` + strings.Repeat("[", 100000) + strings.Repeat("]", 100000) + rest + `}`,
+		"cores overflow":      `{"node":"odd","address":"10.0.0.2:80","cores":1e400` + rest + `}`,
+		"cores too many":      `{"node":"odd","address":"10.0.0.2:80","cores":1e308` + rest + `}`,
+		"cores negative":      `{"node":"odd","address":"10.0.0.2:80","cores":-1` + rest + `}`,
+		"port out of range":   `{"node":"odd","address":"10.0.0.2:65536","cores":9` + rest + `}`,
+		"port zero":           `{"node":"odd","address":"10.0.0.2:0","cores":9` + rest + `}`,
+		"no address":          `{"node":"odd","cores":9` + rest + `}`,
+		"unspecified address": `{"node":"odd","address":"0.0.0.0:80","cores":9` + rest + `}`,
+		"life too large":      `{"node":"odd","address":"10.0.0.2:80","cores":9,"departed":[{"worker":"w","life":9223372036854775808}]` + rest + `}`,
+		"other node":          `{"node":"a","address":"10.0.0.2:80","cores":9` + rest + `}`,
+		"other type":          `[{"node":"odd"}]`,
+		"null":                `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				store := standin.NewKeyedStore(1)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				odd := pv.KeyedRecord{Key: "odd", Value: []byte(value)}
+				if err := store.ClientFor("x").Put(ctx, membersTopic, []pv.KeyedRecord{{Key: "a", Value: sound}, odd}); err != nil {
+					t.Fatal(err)
+				}
+				d := &Directory{store: store.ClientFor("y"), logger: zap.NewNop(), self: Member{Node: "a", Cores: 0.5}}
+				d.nearStore.Store(true)
+				d.scanCandidates(ctx)
+				if !d.Preferred() {
+					t.Error("got the candidate outranked by an odd record, want it preferred")
+				}
+				var mu sync.Mutex
+				invalid := 0
+				var members []Member
+				go d.Follow(ctx, sinceNow(), func(string) {
+					mu.Lock()
+					defer mu.Unlock()
+					invalid++
+				}, func(m []Member) {
+					mu.Lock()
+					defer mu.Unlock()
+					members = m
+				})
+				time.Sleep(time.Second)
+				later, err := json.Marshal(Member{Node: "b", Address: netip.MustParseAddrPort("10.0.0.3:80")})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := store.ClientFor("x").Put(ctx, membersTopic, []pv.KeyedRecord{odd, {Key: "b", Value: later}}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				mu.Lock()
+				if invalid != 2 || len(members) != 2 {
+					t.Errorf("got %d invalid records and members %v, want 2 and a and b", invalid, members)
+				}
+				mu.Unlock()
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// A member's record with more deregistrations than a member writes counts with its newest
+// ones alone.
+func TestManyDeregistrationsInRecord(t *testing.T) {
+	m := Member{Node: "a", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	for i := range 5000 {
+		m.Deregistered = append(m.Deregistered, pv.Deregistration{Worker: "w", Incarnation: int64(i)})
+	}
+	value, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, ok := decodeMember(pv.KeyedRecord{Key: "a", Value: value})
+	if !ok || !slices.Equal(got.Deregistered, m.Deregistered[5000-maxDeregistrations:]) {
+		t.Errorf("got %d deregistrations, %t, want the newest %d", len(got.Deregistered), ok, maxDeregistrations)
+	}
+}
+
+// FuzzMembers checks that a record decodes to a member that a process could have written,
+// or to none, and that a member's own record decodes to the member.
+func FuzzMembers(f *testing.F) {
+	for _, seed := range []string{
+		`{"node":"k","role":"gateway","address":"10.0.0.2:80","boot":"b","near":true,"cores":0.5,"candidate":true,"departed":[{"worker":"w","life":3}]}`,
+		`{"node":"k","address":"10.0.0.2:65536"}`, `{"node":"k","address":"[::1%25x]:80","cores":1e308}`, `{"node":"k","address":"10.0.0.2:80","cores":-0.0}`,
+		`{"node":"k","departed":[` + strings.Repeat(`{},`, 3000) + `{}]}`, strings.Repeat("[", 20000), `null`, `{"node":`, "\xff",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, ok := decodeMember(pv.KeyedRecord{Key: "k", Value: data})
+		if !ok {
+			return
+		}
+		if m.Node != "k" || m.Cores < 0 || m.Cores > maxMemberCores || m.Address.Port() == 0 || len(m.Deregistered) > maxDeregistrations {
+			t.Errorf("%q: got member %+v, want none", data, m)
+		}
+		value, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, ok := decodeMember(pv.KeyedRecord{Key: "k", Value: value})
+		if !ok || !again.equalExceptDeregistered(m) || !slices.Equal(again.Deregistered, m.Deregistered) {
+			t.Errorf("%q: got %+v, %t, want %+v", value, again, ok, m)
+		}
+	})
+}
