Inbox: refuse odd queue settings and jobs too large for a record

What would be seen: a job in the inbox whose JSON holds more than the job needs is accepted although the record of the job exceeds the store's limit; its batch is refused for good, and so it goes with each leader that reads the inbox. A queue with a deadline factor of 1e308, a negative grace or an extreme priority decided the order of all jobs. Fix: decodeInboxJob checks both, Queue.Check bounds the settings. With the former condition TestOddInboxJobs failed in the cases of too large jobs, and of queues out of range.

--- a/job.go
+++ b/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 	"unicode/utf8"
@@ -158,6 +159,26 @@
 	Grace          time.Duration `json:"grace"`          // constant part of the objective
 }
 
+// Limits of the settings of a queue.
+const (
+	MaxQueuePriority  = 1 << 20
+	MaxDeadlineFactor = 1 << 20
+)
+
+// Check validates the queue's settings; it returns the first problem found, or an empty
+// string.
+func (q *Queue) Check() string {
+	switch {
+	case max(q.Priority, -q.Priority) > MaxQueuePriority || q.Priority == math.MinInt:
+		return "the priority is out of range"
+	case !(q.DeadlineFactor >= 0 && q.DeadlineFactor <= MaxDeadlineFactor):
+		return "the deadline factor is out of range"
+	case q.Grace < 0 || q.Grace > MaxJobDuration:
+		return "the grace is out of range"
+	}
+	return ""
+}
+
 // QueueList is one version of the operator's configuration of queues.
 type QueueList struct {
 	Version int64
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -48,6 +48,18 @@
 	return pv.KeyedRecord{Key: inboxCancelPrefix + string(id), Value: []byte(id)}
 }
 
+// decodeInboxJob decodes the value of the record that submits a job, and reports whether
+// it is valid. A job that is too large for a record of its own isn't: its commit would
+// be refused for good.
+func decodeInboxJob(id pv.JobID, value []byte) (spec pv.Job, raw []byte, queue pv.Queue, ok bool) {
+	var in inboxRecord
+	if json.Unmarshal(value, &in) != nil || json.Unmarshal(in.Job, &spec) != nil || json.Unmarshal(in.Queue, &queue) != nil {
+		return spec, nil, queue, false
+	}
+	ok = spec.ID == id && spec.Check() == "" && queue.Check() == "" && len(in.Job) <= pv.MaxJobEncodedBytes
+	return spec, in.Job, queue, ok
+}
+
 // followInbox applies the inbox's records as they arrive until the term ends.
 func (t *term) followInbox(ctx context.Context) {
 	follow(ctx, t.leader.deps.Store, InboxTopic, inboxReadWait, t.leader.deps.Clock, func(records []pv.KeyedRecord, _ bool, readStart time.Duration) {
@@ -68,22 +80,13 @@
 			continue
 		}
 		tombstones = append(tombstones, pv.KeyedRecord{Key: r.Key})
-		var in inboxRecord
-		var spec pv.Job
-		var queue pv.Queue
-		err := json.Unmarshal(r.Value, &in)
-		if err == nil {
-			err = json.Unmarshal(in.Job, &spec)
-		}
-		if err == nil {
-			err = json.Unmarshal(in.Queue, &queue)
-		}
-		if err != nil || string(spec.ID) != id || spec.Check() != "" {
+		spec, raw, queue, ok := decodeInboxJob(pv.JobID(id), r.Value)
+		if !ok {
 			t.metrics.undecodable.WithLabelValues(string(InboxTopic)).Inc()
 			t.logger.Error("leader: invalid job in the inbox; its record is dropped", zap.String("key", r.Key))
 			continue
 		}
-		if t.planner.Submit(now, spec, in.Job, queue) {
+		if t.planner.Submit(now, spec, raw, queue) {
 			t.logger.Info("leader: job accepted from the inbox", zap.String("job", id), zap.Int64("epoch", t.epoch))
 		}
 	}
