Fleet client: one odd entry no longer hides the other workers

What would be seen: one entry of another writer in the platform's list of workers, such as one nested very deeply, with a number too large or with a port out of range, failed the whole list; entries and agents went on with the last list that they had read, or with none. Negative or huge capacities, entries without an address and a second entry for one id were used as they are. Cause: the list was decoded as a whole, and nothing checked its entries. Fix: decodeWorkers decodes each entry by itself, after deep values are replaced by null, and leaves out those that name no worker.

--- a/connector/http.go
+++ b/connector/http.go
@@ -41,38 +41,47 @@
 	return &http.Client{Timeout: timeout, Transport: transport}
 }
 
-// callJSON sends the input as JSON and decodes the response as JSON. Status 409
-// means that the platform refused the call and that the call had no effect;
-// callJSON then returns pv.ErrRefused. If there is no response, or one with another
-// status than 200, it returns pv.ErrUnavailable.
+// callJSON sends the input as JSON and decodes the response as JSON; see call for its
+// errors.
 func callJSON[Q, A any](ctx context.Context, client *http.Client, method, url string, input Q) (A, error) {
 	var output A
+	data, err := call(ctx, client, method, url, input)
+	if err != nil {
+		return output, err
+	}
+	return output, Error.Wrap(json.Unmarshal(data, &output))
+}
+
+// call sends the input as JSON and returns the body of the response. Status 409 means
+// that the platform refused the call and that the call had no effect; call then returns
+// pv.ErrRefused. If there is no response, or one with another status than 200, it returns
+// pv.ErrUnavailable.
+func call(ctx context.Context, client *http.Client, method, url string, input any) ([]byte, error) {
 	body, err := json.Marshal(input)
 	if err != nil {
-		return output, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return output, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.Do(request)
 	if err != nil {
-		return output, Error.Wrap(fmt.Errorf("%w: %w", pv.ErrUnavailable, err))
+		return nil, Error.Wrap(fmt.Errorf("%w: %w", pv.ErrUnavailable, err))
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return output, Error.Wrap(fmt.Errorf("%w: %w", pv.ErrUnavailable, err))
+		return nil, Error.Wrap(fmt.Errorf("%w: %w", pv.ErrUnavailable, err))
 	}
 	switch response.StatusCode {
 	case http.StatusOK:
+		return data, nil
 	case http.StatusConflict:
-		return output, Error.Wrap(pv.ErrRefused)
-	default:
-		return output, Error.Wrap(fmt.Errorf("%w: HTTP status %d", pv.ErrUnavailable, response.StatusCode))
+		return nil, Error.Wrap(pv.ErrRefused)
 	}
-	return output, Error.Wrap(json.Unmarshal(data, &output))
+	return nil, Error.Wrap(fmt.Errorf("%w: HTTP status %d", pv.ErrUnavailable, response.StatusCode))
 }
 
 // AppendRequest is the body of POST /streams/{name}.
--- a/connector/platform.go
+++ b/connector/platform.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"net/url"
 
 	pv "persimmonvalve"
+	"persimmonvalve/internal/jsonprune"
 )
 
 // Log is a client of the log service.
@@ -58,9 +60,47 @@
 	return &Fleet{client: client, base: base}
 }
 
-// Workers implements pv.Fleet.
+// Workers implements pv.Fleet. It leaves out entries that name no worker.
 func (f *Fleet) Workers(ctx context.Context) ([]pv.WorkerInfo, error) {
-	return callJSON[Empty, []pv.WorkerInfo](ctx, f.client, http.MethodGet, f.base+"/workers", Empty{})
+	data, err := call(ctx, f.client, http.MethodGet, f.base+"/workers", Empty{})
+	if err != nil {
+		return nil, err
+	}
+	return decodeWorkers(data)
+}
+
+// Limits of an entry in the list of workers.
+const (
+	workerListDepth    = 8 // of nesting
+	maxWorkerCapacity  = 1 << 30
+	maxIdentifierBytes = 200
+)
+
+// decodeWorkers decodes the list of workers. It leaves out the entries that can't be
+// decoded, have an address or amounts that no worker has, or an id that an earlier one
+// has: the list has other writers than this system, and the other entries hold.
+func decodeWorkers(data []byte) ([]pv.WorkerInfo, error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(jsonprune.Prune(data, workerListDepth), &entries); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	out := make([]pv.WorkerInfo, 0, len(entries))
+	listed := map[pv.WorkerID]bool{}
+	for _, e := range entries {
+		var w pv.WorkerInfo
+		if err := json.Unmarshal(e, &w); err != nil || listed[w.ID] || !usable(w) {
+			continue
+		}
+		listed[w.ID] = true
+		out = append(out, w)
+	}
+	return out, nil
+}
+
+func usable(w pv.WorkerInfo) bool {
+	c := w.Capacity
+	return w.ID != "" && len(w.ID) <= maxIdentifierBytes && w.Address.IsValid() && w.Address.Port() != 0 && !w.Address.Addr().IsUnspecified() &&
+		!c.Negative() && max(c.MilliCores, c.MemoryMB, c.Accelerators, c.Slots) <= maxWorkerCapacity
 }
 
 // Workers creates clients of workers.
