--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -4,6 +4,7 @@
 // persimmonvalve and protobuf messages.
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -79,6 +80,15 @@
 	return a
 }
 
+// maxMilliseconds bounds the times in messages: 73 years. Sums of two of them don't overflow
+// a duration.
+const maxMilliseconds = int64(math.MaxInt64 / time.Millisecond / 4)
+
+// milliseconds returns n milliseconds as a duration, at most maxMilliseconds.
+func milliseconds(n int64) time.Duration {
+	return time.Duration(max(-maxMilliseconds, min(maxMilliseconds, n))) * time.Millisecond
+}
+
 // DecodeReport converts a report from its protobuf message.
 func DecodeReport(r *wire.WorkerReport) Report {
 	return Report{
@@ -86,12 +96,12 @@
 			ID: pv.WorkerID(r.Worker), Service: r.Service, Incarnation: r.Life, Labels: r.Labels,
 			Location: pv.Location{Zone: r.Zone, Rack: r.Rack},
 			Capacity: pv.Resources{MilliCores: r.Millicores, MemoryMB: r.MemoryMb, Accelerators: r.Accelerators},
-			Draining: r.Leaving, DrainTimeLeft: time.Duration(r.TimeLeftMs) * time.Millisecond,
+			Draining: r.Leaving, DrainTimeLeft: milliseconds(r.TimeLeftMs),
 			Address: decodeAddress(r.Address),
 		},
 		Deregistered: r.Departed, Polled: r.Looked, FencingToken: r.Token,
 		Runs: pv.WorkerRuns{
-			Incarnation: r.Life, Clock: time.Duration(r.ClockMs) * time.Millisecond,
+			Incarnation: r.Life, Clock: milliseconds(r.ClockMs),
 			Running: mapSlice(r.Running, func(s *wire.RunStatus) pv.RunStatus {
 				return pv.RunStatus{Run: decodeRun(s.Run), Checkpoint: s.Checkpoint, ProgressPercent: int(s.Percent), Measured: s.Figure}
 			}),
@@ -126,16 +136,24 @@
 	})
 }
 
-// DecodeCoefficient converts an interference coefficient from its protobuf message.
+// maxCoefficient bounds the interference coefficients in messages.
+const maxCoefficient = 1000
+
+// DecodeCoefficient converts an interference coefficient from its protobuf message. A
+// value that no measurement gives becomes the default.
 func DecodeCoefficient(p *wire.Press) pv.InterferenceCoefficient {
-	return pv.InterferenceCoefficient{Pair: pv.ImagePair{Filler: p.Filler, Serving: p.Serving}, PerCore: p.PerCore}
+	perCore := p.PerCore
+	if !(perCore >= 0 && perCore <= maxCoefficient) { // also if it isn't a number
+		perCore = pv.DefaultInterferenceCoefficient
+	}
+	return pv.InterferenceCoefficient{Pair: pv.ImagePair{Filler: p.Filler, Serving: p.Serving}, PerCore: perCore}
 }
 
 // DecodeStart converts the start of a run from its protobuf message.
 func DecodeStart(s *wire.RunStart) pv.RunOrder {
 	return pv.RunOrder{
 		Run: decodeRun(s.Run), Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		FirstSend: s.First, Filler: s.Filler, LatencyTarget: time.Duration(s.LatencyTargetMs) * time.Millisecond,
+		FirstSend: s.First, Filler: s.Filler, LatencyTarget: milliseconds(s.LatencyTargetMs),
 		Image: s.Image, MilliCores: s.Millicores,
 	}
 }
