Links: refuse epochs that no leader has

What would be seen: a process that got one greeting with an epoch of 2^63-1 refused every leader from then on, and ended each leader's term with its introduction. Fix: epochs above 2^50 are refused on both sides of a link. TestGreetingWithOddEpoch failed before: the odd leader was accepted, the next one not.

--- a/leader/peer.go
+++ b/leader/peer.go
@@ -76,6 +76,9 @@
 	handshakeDone := false
 	err = link.Run(func(f *wire.LinkFrame) {
 		if i := f.GetIntroduction(); i != nil {
+			if i.HighestEpoch > messenger.MaxEpoch {
+				return // no leader has such an epoch
+			}
 			if i.HighestEpoch > p.term.epoch {
 				p.term.stop("superseded")
 				return
--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -14,6 +14,10 @@
 	"persimmonvalve/internal/wire"
 )
 
+// MaxEpoch bounds the epochs of leaders. A process that took a higher one for a leader's
+// would refuse all leaders.
+const MaxEpoch = 1 << 50
+
 // LeaderAcceptor accepts the leader's link. It is safe for concurrent use.
 type LeaderAcceptor struct {
 	node, role string
@@ -86,7 +90,7 @@
 // higher epoch was seen. It reports whether it accepted l.
 func (a *LeaderAcceptor) handleGreeting(l *Link, g *wire.Greeting) bool {
 	a.mu.Lock()
-	accepted := g.Epoch >= a.epoch
+	accepted := g.Epoch >= a.epoch && g.Epoch <= MaxEpoch
 	var previous *Link
 	if accepted {
 		a.epoch = g.Epoch
--- a/messenger/acceptor_test.go
+++ b/messenger/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -48,3 +49,31 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// A greeting with an epoch that no leader has made a process refuse all leaders.
+func TestGreetingWithOddEpoch(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		network := pipenet.New()
+		l := network.Listen("process")
+		a := NewLeaderAcceptor("process", "gateway", l, zap.NewNop(), countingHandler{make(chan *wire.LinkFrame, 4)})
+		for _, c := range []struct {
+			epoch int64
+			want  bool
+		}{{math.MaxInt64, false}, {-1, false}, {3, true}} {
+			link, err := OpenLink(context.Background(), network.Dialer("leader"), l.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = link.Run(func(*wire.LinkFrame) {}) }()
+			link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Greeting{Greeting: &wire.Greeting{Leader: "leader", Epoch: c.epoch}}})
+			time.Sleep(100 * time.Millisecond)
+			if got := a.Leader() != nil; got != c.want {
+				t.Errorf("epoch %d: got a leader: %t, want %t", c.epoch, got, c.want)
+			}
+			link.Close()
+			time.Sleep(100 * time.Millisecond)
+		}
+		a.Close()
+		time.Sleep(5 * time.Second)
+	})
+}
