--- a/recorder/bootstrap.go
+++ b/recorder/bootstrap.go
@@ -14,6 +14,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	pv "persimmonvalve"
@@ -66,9 +67,29 @@
 	if err := json.Unmarshal(data, &copied); err != nil {
 		panic(Error.New("ledger state can't be decoded: %v", err))
 	}
+	copied.dropNulls()
 	return copied
 }
 
+// dropNulls replaces null maps by empty ones and removes null entries, which the state
+// in a snapshot of another writer may have.
+func (s *State) dropNulls() {
+	s.Tasks, s.Requests, s.Accounts, s.Reserved = nonNil(s.Tasks), nonNil(s.Requests), nonNil(s.Accounts), nonNil(s.Reserved)
+	maps.DeleteFunc(s.Tasks, func(_ pv.TaskID, t *Task) bool { return t == nil })
+	maps.DeleteFunc(s.Requests, func(_ string, r *Request) bool { return r == nil })
+	maps.DeleteFunc(s.Accounts, func(_ string, a *Account) bool { return a == nil })
+	for _, a := range s.Accounts {
+		a.Outcomes, a.Reasons, a.Evictions, a.Retries = nonNil(a.Outcomes), nonNil(a.Reasons), nonNil(a.Evictions), nonNil(a.Retries)
+	}
+}
+
+func nonNil[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	return m
+}
+
 // SortedTasks returns the tasks ordered by time of acceptance, then by id.
 func (s *State) SortedTasks() []*Task {
 	tasks := make([]*Task, 0, len(s.Tasks))
