--- a/announcer/fuzz_test.go
+++ b/announcer/fuzz_test.go
@@ -1,7 +1,9 @@
 package announcer
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +95,32 @@
 		t.Errorf("members: got %d, want %d", got, want)
 	}
 }
+
+// FuzzAnnouncements checks that a reader doesn't panic on any record, and that the records
+// beside it are applied.
+func FuzzAnnouncements(f *testing.F) {
+	for _, seed := range []string{
+		`{"announce":{"name":"odd","address":"10.0.0.1:65536"}}`, `{"announce":null,"hold":{"term":9223372036854775807}}`, `{"hold":{"stream":"s","term":9223372036854775808}}`,
+		`{"leave":{"name":"a"}}`, `{"announce":` + strings.Repeat("[", 10010), `null`, "\xff",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		sound := func(name string) []byte {
+			encoded, err := Encode(Record{Announce: &pv.Member{Name: "sound " + name, Role: pv.RoleAgent, Incarnation: pv.Incarnation("sound " + name)}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return encoded
+		}
+		table := NewTable(time.Hour)
+		table.Apply(time.Unix(1000, 0), pv.Batch{Records: [][]byte{sound("a"), data, sound("b")}})
+		var r Record
+		if json.Unmarshal(data, &r) == nil && (r.Announce != nil || r.Deregistration != nil) {
+			return // it may name a sound member
+		}
+		if got := table.Members(""); len(got) != 2 {
+			t.Errorf("%q: got %v, want the members beside it", data, got)
+		}
+	})
+}
--- a/follower/fuzz_test.go
+++ b/follower/fuzz_test.go
@@ -182,3 +182,27 @@
 		t.Errorf("burst: got %d, want %d", got, want)
 	}
 }
+
+// FuzzStream checks that a follower doesn't panic on any record, whether it starts with the
+// stream or after its first records, and that its configuration is the one of the lists.
+func FuzzStream(f *testing.F) {
+	for _, seed := range []string{
+		`{"change":null,"checkpoint":{"through":9223372036854775807}}`, `{"checkpoint":{"through":4,"state":{"next":-5,"plans":{"version":9223372036854775807,"text":"` + strings.Repeat("[", 5000) + `"}}}}`,
+		`{"checkpoint":{"through":4,"state":null}}`, `{"checkpoint":` + strings.Repeat("[", 10010), `null`, "\xff",
+	} {
+		f.Add([]byte(seed), []byte(`{}`))
+	}
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		for _, first := range []pv.Offset{0, 5} {
+			c := New()
+			c.Feed(pv.Batch{First: first, Records: [][]byte{a, b, a}, Next: first + 3})
+			if next := c.Next(); next < 0 {
+				t.Errorf("got next offset %d, want one in the stream", next)
+			}
+			if s, err := DecodeState(a); err == nil {
+				c.Adopt(s)
+			}
+			c.Feed(pv.Batch{First: 20, Records: [][]byte{b, a}, Next: 22})
+		}
+	})
+}
