Parser: refuse lists that are nested too deeply

What would be seen: one change record with a deeply nested list kept each process that follows the lists busy, and again after each restart: the parser runs on the event loop, and the YAML library takes 1.5 s for 20,000 brackets, 0.06 s for 5,000. A list may have 4 MiB. Fix: more than 100 open brackets, or indicators of nested blocks in a row, are a fault before the text is parsed. TestDeepLists failed before: no result within 5 s.

--- a/parser/parser.go
+++ b/parser/parser.go
@@ -85,6 +85,9 @@
 	if len(text) > MaxListBytes {
 		return document{}, []Fault{{Text: fmt.Sprintf("the list has %d bytes, at most %d are allowed", len(text), MaxListBytes)}}
 	}
+	if nestedTooDeeply(text) {
+		return document{}, []Fault{{Line: 1, Column: 1, Text: fmt.Sprintf("the list is nested too deeply, at most %d levels are allowed", maxNesting)}}
+	}
 	file, err := yamlparser.ParseBytes(text, 0)
 	if err != nil {
 		return document{}, []Fault{faultFromError(err)}
@@ -98,6 +101,36 @@
 	return document{root: file.Docs[0].Body}, nil
 }
 
+// maxNesting is the most levels of nesting in a list. The time that the YAML library
+// takes grows with the square of the levels.
+const maxNesting = 100
+
+// nestedTooDeeply reports whether the text has more than maxNesting open brackets, or as
+// many indicators of nested blocks in a row. Brackets in quoted text and comments count
+// as well: no list needs that many.
+func nestedTooDeeply(text []byte) bool {
+	brackets, blocks := 0, 0
+	for _, c := range text {
+		switch c {
+		case '[', '{':
+			brackets++
+		case ']', '}':
+			brackets = max(0, brackets-1)
+		}
+		switch c {
+		case '-', '?', ':':
+			blocks++
+		case ' ', '\t':
+		default:
+			blocks = 0
+		}
+		if brackets > maxNesting || blocks > maxNesting {
+			return true
+		}
+	}
+	return false
+}
+
 // faultFromError converts an error of the YAML library to a fault with its position.
 func faultFromError(err error) Fault {
 	var y yaml.Error
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	pv "persimmonvalve"
 )
@@ -76,12 +77,38 @@
 	}
 }
 
+// A deeply nested list in the stream kept each process that follows the lists busy, with
+// each start anew: the time to parse it grows faster than its depth.
+func TestDeepLists(t *testing.T) {
+	for _, part := range []string{"[", "{a: ", "- ", "? ", "-\t", "a: [{"} {
+		text := "plans: " + strings.Repeat(part, MaxListBytes/len(part)-10)
+		done := make(chan []Fault, 1)
+		go func() {
+			_, faults := ParsePlans([]byte(text))
+			done <- faults
+		}()
+		select {
+		case faults := <-done:
+			if len(faults) == 0 {
+				t.Errorf("%q repeated: got no fault, want one", part)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%q repeated: got no result within 5 s", part)
+		}
+	}
+	if _, faults := ParsePlans([]byte("plans:\n  - {name: \"" + strings.Repeat("[", maxNesting) + "\", customer: c, service: s, class: urgent}\n")); len(faults) != 1 || !strings.Contains(faults[0].Text, "nested") {
+		t.Errorf("brackets in a text: got %v, want them counted", faults)
+	}
+}
+
 // FuzzLists checks that no text makes the parser panic, that parsing is
 // deterministic, and that a list has a fault if one of its plans violates one of four
 // basic rules.
 func FuzzLists(f *testing.F) {
 	f.Add([]byte("plans:\n  - {name: a, customer: c, service: s, class: urgent}\n"))
 	f.Add([]byte("allowances:\n  - plan: a\n"))
+	f.Add([]byte("plans: " + strings.Repeat("[", 500)))
+	f.Add([]byte("plans:\n  - {name: a, deadline: 1e400h, retryLimit: 9223372036854775808, size: {cores: .inf, memoryMB: -1}}\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		plans, faults := ParsePlans(text)
 		again, _ := ParsePlans(text)
