--- a/follower/core.go
+++ b/follower/core.go
@@ -65,6 +65,9 @@
 // incomplete, and reports whether it did. The configuration in force is replaced
 // only by a newer one.
 func (c *Core) Adopt(s State) bool {
+	if !s.consistent() {
+		return false
+	}
 	if c.synced && s.Next <= c.state.Next {
 		return false
 	}
@@ -116,9 +119,11 @@
 	}
 	c.buffer = append(c.buffer, r)
 	checkpoint := r.Checkpoint
-	if checkpoint == nil || checkpoint.Through+1 < c.bufferStart || checkpoint.Through >= offset {
+	if checkpoint == nil || checkpoint.Through+1 < c.bufferStart || checkpoint.Through >= offset ||
+		checkpoint.State.Next != checkpoint.Through+1 || !checkpoint.State.consistent() {
 		// Not a checkpoint, or one after which a change before bufferStart could be
-		// missed, or one that claims to include its own offset.
+		// missed, or one that claims to include its own offset, or one whose state
+		// isn't that of any offset.
 		return nil
 	}
 	start, buffered := c.bufferStart, c.buffer
--- a/follower/fuzz_test.go
+++ b/follower/fuzz_test.go
@@ -183,6 +183,30 @@
 	}
 }
 
+// A checkpoint or a peer's state with a version that no change has kept every later change
+// from taking effect; so did a negative offset, from which the log can't be read.
+func TestOddStates(t *testing.T) {
+	for name, state := range map[string]string{
+		"version too high":     `{"plans":{"version":9223372036854775807},"allowances":{"version":-1},"next":5}`,
+		"version after offset": `{"plans":{"version":5},"allowances":{"version":-1},"next":5}`,
+		"negative version":     `{"plans":{"version":-2},"allowances":{"version":-1},"next":5}`,
+		"negative offset":      `{"plans":{"version":-1},"allowances":{"version":-1},"next":-5}`,
+	} {
+		s, err := DecodeState([]byte(state))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if New().Adopt(s) {
+			t.Errorf("%s: got a peer's state adopted, want it refused", name)
+		}
+		c := New()
+		c.Feed(pv.Batch{First: 5, Records: [][]byte{[]byte(`{"checkpoint":{"through":4,"state":` + state + `}}`)}, Next: 6})
+		if got, complete := c.State(); complete {
+			t.Errorf("%s: got state %+v, want none", name, got)
+		}
+	}
+}
+
 // FuzzStream checks that a follower doesn't panic on any record, whether it starts with the
 // stream or after its first records, and that its configuration is the one of the lists.
 func FuzzStream(f *testing.F) {
--- a/follower/record.go
+++ b/follower/record.go
@@ -56,6 +56,12 @@
 	Next       pv.Offset `json:"next"` // offset after the last record applied
 }
 
+// consistent reports whether the lists' versions are offsets before Next, or NoVersion.
+// Next is then 0 or more. With a higher version no later change could take effect.
+func (s State) consistent() bool {
+	return min(s.Plans.Version, s.Allowances.Version) >= NoVersion && max(s.Plans.Version, s.Allowances.Version) < s.Next
+}
+
 // Version returns the version of the configuration, the higher one of the two
 // lists' versions; NoVersion if neither was published.
 func (s State) Version() pv.Offset {
