--- a/planner/record_odd_test.go
+++ b/planner/record_odd_test.go
@@ -71,3 +71,24 @@
 		})
 	}
 }
+
+// FuzzRestore checks that a leader doesn't panic on any stored records, nor when it goes on
+// with what it restored from them.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":2,"size":{"milliCores":1}},{"count":1,"after":[0]}]},"queue":{"name":"q"},"accepted":1}`),
+		[]byte(`{"state":"running","tasks":"apart"}`), []byte(`[{"index":0,"attempt":1,"worker":"w","life":1}]`), []byte(`[{"filler":"a","serving":"b","perCore":0.5}]`))
+	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":1}]},"queue":{"name":"q","deadlineFactor":1e308},"accepted":9223372036854775807}`),
+		[]byte(`{"state":"asleep","ended":9223372036854775807,"tasks":[{"step":0,"index":0,"attempt":-1}],"gangs":[9223372036854775807]}`), []byte(`[{"index":0,"attempt":4294967297,"worker":"w"}]`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, spec, state, tasks, coefficients []byte) {
+		p := New(DefaultSettings(), 1)
+		now := time.Unix(1000, 0)
+		p.Restore(now, []pv.KeyedRecord{{Key: "job/j", Value: spec}, {Key: "state/j", Value: state}, {Key: "tasks/j/0/0", Value: tasks}, {Key: coefficientsKey, Value: coefficients}})
+		for i := range 5 {
+			p.Tick(now.Add(time.Duration(i) * time.Second))
+			for b := p.NextBatch(); b != nil; b = p.NextBatch() {
+				p.Committed(b)
+			}
+			p.PendingJobs("q")
+		}
+	})
+}
