--- a/leader/peer.go
+++ b/leader/peer.go
@@ -251,7 +251,7 @@
 		replyVerdict(VerdictBadInput)()
 		return
 	}
-	if err := json.Unmarshal(q.Policy, &queue); err != nil {
+	if err := json.Unmarshal(q.Policy, &queue); err != nil || queue.Check() != "" || len(q.Body) > pv.MaxJobEncodedBytes {
 		replyVerdict(VerdictBadInput)()
 		return
 	}
