--- a/internal/jsonprune/jsonprune.go
+++ b/internal/jsonprune/jsonprune.go
@@ -3,8 +3,6 @@
 // pruning, only that value is lost.
 package jsonprune
 
-import "bytes"
-
 // Prune returns the JSON document with null in place of each object and array that
 // is nested in depth others. The result is the document itself if it has none. Text
 // that isn't valid JSON remains invalid, except within what is replaced.
@@ -40,15 +38,12 @@
 // or the index of the last byte if the string is cut off.
 func stringEnd(data []byte, start int) int {
 	for i := start + 1; i < len(data); i++ {
-		next := bytes.IndexAny(data[i:], `"\`)
-		if next < 0 {
-			break
-		}
-		i += next
-		if data[i] == '"' {
+		switch data[i] {
+		case '"':
 			return i
+		case '\\':
+			i++ // the escaped character
 		}
-		i++ // the escaped character
 	}
 	return len(data) - 1
 }
