--- a/follower/fuzz_test.go
+++ b/follower/fuzz_test.go
@@ -182,3 +182,51 @@
 		t.Errorf("burst: got %d, want %d", got, want)
 	}
 }
+
+// A checkpoint or a peer's state with a version that no change has kept every later change
+// from taking effect; so did a negative offset, from which the log can't be read.
+func TestOddStates(t *testing.T) {
+	for name, state := range map[string]string{
+		"version too high":     `{"plans":{"version":9223372036854775807},"allowances":{"version":-1},"next":5}`,
+		"version after offset": `{"plans":{"version":5},"allowances":{"version":-1},"next":5}`,
+		"negative version":     `{"plans":{"version":-2},"allowances":{"version":-1},"next":5}`,
+		"negative offset":      `{"plans":{"version":-1},"allowances":{"version":-1},"next":-5}`,
+	} {
+		s, err := DecodeState([]byte(state))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if New().Adopt(s) {
+			t.Errorf("%s: got a peer's state adopted, want it refused", name)
+		}
+		c := New()
+		c.Feed(pv.Batch{First: 5, Records: [][]byte{[]byte(`{"checkpoint":{"through":4,"state":` + state + `}}`)}, Next: 6})
+		if got, complete := c.State(); complete {
+			t.Errorf("%s: got state %+v, want none", name, got)
+		}
+	}
+}
+
+// FuzzStream checks that a follower doesn't panic on any record, whether it starts with the
+// stream or after its first records, and that its configuration is the one of the lists.
+func FuzzStream(f *testing.F) {
+	for _, seed := range []string{
+		`{"change":null,"checkpoint":{"through":9223372036854775807}}`, `{"checkpoint":{"through":4,"state":{"next":-5,"plans":{"version":9223372036854775807,"text":"` + strings.Repeat("[", 5000) + `"}}}}`,
+		`{"checkpoint":{"through":4,"state":null}}`, `{"checkpoint":` + strings.Repeat("[", 10010), `null`, "\xff",
+	} {
+		f.Add([]byte(seed), []byte(`{}`))
+	}
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		for _, first := range []pv.Offset{0, 5} {
+			c := New()
+			c.Feed(pv.Batch{First: first, Records: [][]byte{a, b, a}, Next: first + 3})
+			if next := c.Next(); next < 0 {
+				t.Errorf("got next offset %d, want one in the stream", next)
+			}
+			if s, err := DecodeState(a); err == nil {
+				c.Adopt(s)
+			}
+			c.Feed(pv.Batch{First: 20, Records: [][]byte{b, a}, Next: 22})
+		}
+	})
+}
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -76,6 +76,9 @@
 	handshakeDone := false
 	err = link.Run(func(f *wire.LinkFrame) {
 		if i := f.GetIntroduction(); i != nil {
+			if i.HighestEpoch > messenger.MaxEpoch {
+				return // no leader has such an epoch
+			}
 			if i.HighestEpoch > p.term.epoch {
 				p.term.stop("superseded")
 				return
@@ -248,7 +251,7 @@
 		replyVerdict(VerdictBadInput)()
 		return
 	}
-	if err := json.Unmarshal(q.Policy, &queue); err != nil {
+	if err := json.Unmarshal(q.Policy, &queue); err != nil || queue.Check() != "" || len(q.Body) > pv.MaxJobEncodedBytes {
 		replyVerdict(VerdictBadInput)()
 		return
 	}
