Planner: skip stored jobs that no submission check would accept

What would be seen: a stored job that names a predecessor out of range ended each leader that read the topic, one after the other; a task listed twice left its job without an end.

Cause: restoreJob decoded a job's records without checking them. It applies Job.Check now, compares the id with the key's, and refuses unknown states, repeated tasks and attempts out of range; the leader counts and logs the record and goes on with the others.

FuzzRestore has the panic's seed.

--- a/planner/record.go
+++ b/planner/record.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -208,7 +209,7 @@
 		if !ok || len(r.Value) == 0 {
 			continue
 		}
-		if err := p.restoreJob(now, r.Value, states[id], groups[pv.JobID(id)]); err != nil {
+		if err := p.restoreJob(now, pv.JobID(id), r.Value, states[id], groups[pv.JobID(id)]); err != nil {
 			errors = append(errors, Error.New("restore job %s: %w", id, err))
 		}
 	}
@@ -222,7 +223,9 @@
 	value           []byte // list of taskRecord
 }
 
-func (p *Planner) restoreJob(now time.Time, specData, stateData []byte, groups []storedGroup) error {
+// restoreJob restores a job from its records. Records that this program can't have written
+// are an error: a leader must not fail on them.
+func (p *Planner) restoreJob(now time.Time, id pv.JobID, specData, stateData []byte, groups []storedGroup) error {
 	var spec specRecord
 	if err := json.Unmarshal(specData, &spec); err != nil {
 		return err
@@ -231,10 +234,19 @@
 	if err := json.Unmarshal(spec.Job, &submitted); err != nil {
 		return err
 	}
+	if submitted.ID != id {
+		return Error.New("the job has the id %s", submitted.ID)
+	}
+	if problem := submitted.Check(); problem != "" {
+		return Error.New("%s", problem)
+	}
 	var state stateRecord
 	if err := json.Unmarshal(stateData, &state); err != nil {
 		return err
 	}
+	if !state.State.Ended() && state.State != pv.JobQueued && state.State != pv.JobRunning {
+		return Error.New("state record has the unknown state %q", state.State)
+	}
 	j := newJob(submitted, spec.Job, spec.Queue, time.UnixMilli(spec.AcceptedUnixMS))
 	j.specStored = true
 	j.state, j.committedState = state.State, state.State
@@ -264,7 +276,15 @@
 			tasks = append(tasks, r)
 		}
 	}
+	seen := map[[2]int]bool{}
 	for _, r := range tasks {
+		if seen[[2]int{r.Step, r.Index}] {
+			return Error.New("state record lists step %d task %d twice", r.Step, r.Index)
+		}
+		seen[[2]int{r.Step, r.Index}] = true
+		if r.Attempt < 0 || r.Attempt > math.MaxInt32 {
+			return Error.New("state record has the attempt %d for step %d task %d", r.Attempt, r.Step, r.Index)
+		}
 		if r.Step < 0 || r.Step >= len(j.steps) || r.Index < 0 || r.Index >= len(j.steps[r.Step].tasks) {
 			return Error.New("state record lists step %d task %d, which the job spec does not have", r.Step, r.Index)
 		}
--- a/planner/record_odd_test.go
+++ b/planner/record_odd_test.go
@@ -79,6 +79,7 @@
 		[]byte(`{"state":"running","tasks":"apart"}`), []byte(`[{"index":0,"attempt":1,"worker":"w","life":1}]`), []byte(`[{"filler":"a","serving":"b","perCore":0.5}]`))
 	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":1}]},"queue":{"name":"q","deadlineFactor":1e308},"accepted":9223372036854775807}`),
 		[]byte(`{"state":"asleep","ended":9223372036854775807,"tasks":[{"step":0,"index":0,"attempt":-1}],"gangs":[9223372036854775807]}`), []byte(`[{"index":0,"attempt":4294967297,"worker":"w"}]`), []byte(`null`))
+	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":1,"after":[7]}]},"queue":{"name":"q"},"accepted":1}`), []byte(`{"state":"queued","tasks":"apart"}`), []byte(`[]`), []byte(`[]`))
 	f.Fuzz(func(t *testing.T, spec, state, tasks, coefficients []byte) {
 		p := New(DefaultSettings(), 1)
 		now := time.Unix(1000, 0)
