Gateway: test of cancellations beside unanswered orders (failing)

What: a site in memory whose workers of 32 task slots leave two of five orders unanswered for 8 s, with 40 jobs of 24 tasks, three of four cancelled right after their acknowledgement, beside each of 11 further faults and none. The other jobs must finish. Cause: a supervisor sends starts that waited behind unanswered ones without checking them again.

--- a/gateway/seeds_test.go
+++ b/gateway/seeds_test.go
@@ -10,10 +10,19 @@
 const (
 	defaultSeed = 1
 	defaultRuns = 25
+	// cancellationRuns is the default number of seeds of each variant of the tests of
+	// cancellations.
+	cancellationRuns = 3
 )
 
 // siteSeeds returns the first seed and the number of seeds to run.
 func siteSeeds(t *testing.T) (first, count uint64) {
+	t.Helper()
+	return siteSeedsOr(t, defaultRuns)
+}
+
+// siteSeedsOr returns the first seed and the number of seeds to run, by default runs.
+func siteSeedsOr(t *testing.T, runs uint64) (first, count uint64) {
 	t.Helper()
 	read := func(name string, fallback uint64) uint64 {
 		text := os.Getenv(name)
@@ -26,5 +35,5 @@
 		}
 		return n
 	}
-	return read("PVALVE_SITE_SEED", defaultSeed), read("PVALVE_SITE_RUNS", defaultRuns)
+	return read("PVALVE_SITE_SEED", defaultSeed), read("PVALVE_SITE_RUNS", runs)
 }
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -73,6 +73,11 @@
 }
 
 func newSiteHarnessOfSize(t *testing.T, seed uint64, workers int) *siteHarness {
+	return newSiteHarnessOfCapacity(t, seed, workers, workerMilliCores)
+}
+
+// newSiteHarnessOfCapacity returns a site whose workers have the given capacity each.
+func newSiteHarnessOfCapacity(t *testing.T, seed uint64, workers int, milliCores int64) *siteHarness {
 	s := &siteHarness{
 		t: t, network: pipenet.New(), store: standin.NewKeyedStore(seed), logger: testLogger(),
 		jobs: map[pv.JobID]pv.Job{}, accepted: map[pv.JobID]bool{}, refused: map[pv.JobID]bool{}, notRefused: map[pv.JobID]bool{},
@@ -82,7 +87,7 @@
 	for i := range workers {
 		state := pv.WorkerState{
 			ID: pv.WorkerID(fmt.Sprintf("w%d", i)), Service: "s",
-			Capacity: pv.Resources{MilliCores: workerMilliCores, MemoryMB: 64000},
+			Capacity: pv.Resources{MilliCores: milliCores, MemoryMB: 64000},
 		}
 		s.workers = append(s.workers, standin.NewJobWorker(state, s.runAudit, taskRunTime, seed+uint64(i), func(pv.TaskRef) int64 { return taskMilliCores }))
 	}
