Supervisor: tests of delayed orders and of start calls in progress (failing)

What: orders that a stall of the network delayed by 1.7 s, and start calls that are still in progress when their run is to be stopped or the last orders are too old. Cause: the age of orders counts from their arrival; a start call runs for its whole timeout, in which it may still wait for a connection. Evidence: got a start 1.7s after the last orders were sent, want none after 1.2s; got a start call in progress 1s after its order, want none after 100ms.

--- a/supervisor/calls_test.go
+++ b/supervisor/calls_test.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -182,8 +184,24 @@
 	silence    context.CancelFunc // ends the pings on the link
 	epoch      int64              // also the fencing token
 
-	mu      sync.Mutex
-	absents map[pv.RunRef]time.Time // when a run was first reported absent
+	mu          sync.Mutex
+	absents     map[pv.RunRef]time.Time // when a run was first reported absent
+	stalledTill time.Time               // what the leader writes to its link arrives then at the earliest
+}
+
+// stallingConn is the leader's end of a connection, which delays what is written during a
+// stall of the network.
+type stallingConn struct {
+	net.Conn
+	harness *callHarness
+}
+
+func (c *stallingConn) Write(b []byte) (int, error) {
+	c.harness.mu.Lock()
+	till := c.harness.stalledTill
+	c.harness.mu.Unlock()
+	time.Sleep(time.Until(till))
+	return c.Conn.Write(b)
 }
 
 // newCallHarness returns a supervisor that has received full orders without runs and
@@ -208,7 +226,10 @@
 func (h *callHarness) connect() {
 	h.t.Helper()
 	h.epoch++
-	link, err := messenger.OpenLink(context.Background(), h.network.Dialer("leader"), h.listener.Address())
+	link, err := messenger.OpenLink(context.Background(), func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		conn, err := h.network.Dialer("leader")(ctx, address)
+		return &stallingConn{Conn: conn, harness: h}, err
+	}, h.listener.Address())
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -353,6 +374,34 @@
 	}
 }
 
+// A start call that still waits for a connection when its run is to be stopped, or when the
+// last orders are too old, must not go on: it would be sent later.
+func TestStartCallEndsWithItsPermission(t *testing.T) {
+	const stopDelay = 100 * time.Millisecond
+	for name, permitted := range map[string]time.Duration{"stop order": stopDelay, "no orders": maxOrdersAge} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer h.stop()
+				h.worker.setUnanswered(unansweredStarts("j"))
+				runs := testRuns("j", manyRuns)
+				h.send(false, startsOf(runs))
+				orderedAt := time.Now()
+				time.Sleep(stopDelay)
+				if permitted == stopDelay {
+					h.send(false, nil, runs...)
+				}
+				time.Sleep(5 * time.Second)
+				for _, c := range h.worker.callsOf(startCall) {
+					if took := c.endedAt.Sub(orderedAt); took > permitted {
+						t.Errorf("got a start call of %v in progress %v after its order, want none after %v", c.run, took, permitted)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Stops waited up to 7.4 s behind other calls without an answer, also those of their own
 // run, and started runs of cancelled jobs went on for as long.
 func TestStopIsNotHeldUp(t *testing.T) {
@@ -595,6 +644,32 @@
 	}
 }
 
+// Orders that the network delays, for less than the time after which a link counts as lost,
+// were carried out as if they had just been sent. A later leader may have confirmed
+// cancellations meanwhile.
+func TestNoStartOnDelayedOrders(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		h.worker.setUnanswered(unansweredStarts("j"))
+		h.renew(time.Second)
+		const delay = 1700 * time.Millisecond
+		h.mu.Lock()
+		h.stalledTill = time.Now().Add(delay)
+		h.mu.Unlock()
+		orderedAt := time.Now()
+		h.send(false, startsOf(testRuns("j", 2)))
+		time.Sleep(delay + 50*time.Millisecond)
+		h.link.Close()
+		time.Sleep(8 * time.Second)
+		for _, c := range h.worker.callsOf(startCall) {
+			if age := c.beganAt.Sub(orderedAt); age > maxOrdersAge {
+				t.Errorf("got a start of %v %v after the last orders were sent, want none after %v", c.run, age, maxOrdersAge)
+			}
+		}
+	})
+}
+
 // Empty orders that renew the lease keep the starts going for as long as they are
 // unanswered.
 func TestStartsGoOnUnderEmptyOrders(t *testing.T) {
