--- a/gateway/seeds_test.go
+++ b/gateway/seeds_test.go
@@ -18,7 +18,7 @@
 	return siteSeedsOr(t, defaultRuns)
 }
 
-// siteSeedsOr is siteSeeds with another default of the number.
+// siteSeedsOr returns the first seed and the number of seeds to run, by default runs.
 func siteSeedsOr(t *testing.T, runs uint64) (first, count uint64) {
 	t.Helper()
 	read := func(name string, fallback uint64) uint64 {
