Leader: a cancellation of an unknown job outlives its late submission

What callers could see: a job starts after its cancellation was answered 410. Cause: a submission without an answer may be stored late; the inbox kept cancellations of unknown jobs for that, those that came over a link were forgotten. Now both are kept as long as ended jobs are. Found in review; TestLateSubmissionAfterCancellationOfUnknownJob failed before ("got a start of the job, want none"). What remains: the next leader doesn't know of such a cancellation unless it was written to the inbox.

--- a/leader/peer.go
+++ b/leader/peer.go
@@ -194,6 +194,7 @@
 		default:
 			t.answerAfterBarrierRead(func() {
 				if !t.planner.Cancel(time.Now(), id) {
+					t.planner.CancelAhead(time.Now(), id)
 					replyVerdict(VerdictUnknownJob)()
 					return
 				}
