Leader: start no runs while no batch has been stored recently

What callers could see: starts up to 9.5 s after a cancellation was acknowledged, by a linked leader that can't append: another process had accepted the cancellation, or a later leader, and a read of the inbox doesn't show the latter's commits. Now starts need both, an inbox read and a stored batch of the last 1.8 s.

--- a/leader/term.go
+++ b/leader/term.go
@@ -193,11 +193,15 @@
 
 // maxInboxAge is the time since the last read of the inbox after which no orders to start
 // runs are sent: the inbox may hold a cancellation, which must take effect within 3 s. A
-// supervisor may carry them out for 1.2 s more.
+// supervisor may carry them out for 1.1 s more.
 const maxInboxAge = 1800 * time.Millisecond
 
-// mayStartRuns reports whether the inbox was read recently enough to start runs.
-func (t *term) mayStartRuns() bool { return t.leader.deps.Clock()-t.inboxReadStartedAt < maxInboxAge }
+// mayStartRuns reports whether this leader can have missed no cancellation that is older
+// than maxInboxAge: it has read the inbox since, and stored a batch, so that no later
+// leader had accepted one.
+func (t *term) mayStartRuns() bool {
+	return t.leader.deps.Clock()-min(t.inboxReadStartedAt, t.confirmedAt) < maxInboxAge
+}
 
 func (t *term) sendOrders(now time.Time) {
 	for _, p := range t.peers {
