Planner: stop runs that a worker lists although they have ended here

What callers could see: a task runs twice, or after its cancellation, for the length of the run. A supervisor had reported the run absent before its start, full orders that crossed the report listed it again, and it was started after all. The leader ignored listed runs that it didn't know, since "the supervisor stops runs that are not in its full orders"; it was in them. Such a run is now ordered to stop, with each poll that lists it.

--- a/planner/orders.go
+++ b/planner/orders.go
@@ -44,7 +44,7 @@
 		return Orders{}, false // full orders without starts would make the supervisor stop its runs
 	}
 	renewalDue := permissions.RenewLease && now.Sub(w.leaseRenewedAt) >= leaseRenewalInterval
-	if !w.fullOrdersDue && !renewalDue && (len(w.unsentStarts) == 0 || !permissions.StartRuns) && len(w.unsentStops) == 0 && w.committedEnd == w.acknowledgedEnd {
+	if !w.fullOrdersDue && !renewalDue && (len(w.unsentStarts) == 0 || !permissions.StartRuns) && len(w.unsentStops) == 0 && len(w.strayRuns) == 0 && w.committedEnd == w.acknowledgedEnd {
 		return Orders{}, false
 	}
 	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue, StartsWithheld: !permissions.StartRuns}
@@ -83,7 +83,8 @@
 	for _, r := range stops {
 		o.Stops = append(o.Stops, r.ref())
 	}
-	w.unsentStops, w.fullOrdersDue = nil, false
+	o.Stops = append(o.Stops, w.strayRuns...)
+	w.unsentStops, w.strayRuns, w.fullOrdersDue = nil, nil, false
 	w.acknowledgedEnd = w.committedEnd
 	return o, true
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -136,10 +136,12 @@
 			p.finishRun(now, r, e.Kind, e.Checkpoint, "")
 		}
 	}
+	w.strayRuns = nil
 	for _, s := range poll.Running {
 		r, ok := w.runs[s.Run]
 		if !ok {
-			continue // the supervisor stops runs that are not in its full orders
+			w.strayRuns = append(w.strayRuns, s.Run) // it was in orders that crossed the report of its end
+			continue
 		}
 		p.applyStatus(now, r, s)
 	}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -52,7 +52,8 @@
 
 	unsentStarts  []*run // their records are stored
 	unsentStops   []*run
-	fullOrdersDue bool // the next orders must be full
+	strayRuns     []pv.RunRef // listed by the worker, but ended or unknown here; to be stopped
+	fullOrdersDue bool        // the next orders must be full
 
 	consecutiveFailures int
 	quarantinedUntil    time.Time
@@ -78,7 +79,7 @@
 	w.fencingTokenConfirmed = false
 	w.clock, w.clockReceivedAt, w.leaseEnd = 0, time.Time{}, 0
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd = 0, 0, 0
-	w.unsentStarts, w.unsentStops = nil, nil
+	w.unsentStarts, w.unsentStops, w.strayRuns = nil, nil, nil
 	w.deregisteredAt = time.Time{}
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	w.fullOrdersDue = true
