Supervisor: a run reported absent isn't started under the same token

What callers could see: a task runs twice. A start that was never sent is dropped and its run reported as absent when the worker has stopped answering; full orders that crossed that report listed it again, and it was started once the worker answered, while the leader had started the task elsewhere. The supervisor now remembers such runs under a token and reports them absent again. Found in review; TestAbsentRunIsNotStartedUnderSameToken failed before ("got starts [j.0.0.0#1 ...] after the run was reported absent, want none").

--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -178,13 +178,20 @@
 	if r.order.FirstSend && !r.maybeSent && v.canReport() {
 		ref := r.order.Run
 		delete(v.runs, ref)
+		v.absentRuns[ref] = true
 		v.metrics.stops.WithLabelValues("workerLost").Inc()
 		v.logger.Info("supervisor: run reported absent before its start: last poll too old", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.Int64("lookAgeMs", now.Sub(v.polledAt).Milliseconds()))
-		v.link.Send(frame(messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Absent: []pv.RunRef{ref}}))
+		v.reportAbsent(ref)
 	}
 	return false
 }
 
+func (v *Supervisor) reportAbsent(ref pv.RunRef) {
+	if v.canReport() {
+		v.link.Send(frame(messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Absent: []pv.RunRef{ref}}))
+	}
+}
+
 // makeCall makes a call with the newest lease, on a goroutine of its own, and handles its
 // result on the event loop.
 func (v *Supervisor) makeCall(c call) {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -52,6 +52,9 @@
 		return
 	}
 	now := time.Now()
+	if o.Token != v.lease.FencingToken {
+		clear(v.absentRuns)
+	}
 	if o.Token != v.lease.FencingToken || o.Life != v.leaseIncarnation || o.Whole {
 		v.reportedEnd = 0
 		v.wakePoll()
@@ -76,6 +79,10 @@
 	for _, s := range o.Starts {
 		start := messenger.DecodeStart(s)
 		wanted[start.Run] = true
+		if v.absentRuns[start.Run] {
+			v.reportAbsent(start.Run) // these orders crossed the first report
+			continue
+		}
 		if _, ok := v.runs[start.Run]; !ok {
 			v.runs[start.Run] = &run{order: start, nextCallAt: now}
 		}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -77,10 +77,11 @@
 	crashedWorkers       []messenger.Report     // on former workers that stopped answering, sent to new leaders
 	deregistrations      chan pv.Deregistration // read by the directory
 	lease                pv.WorkerLease
-	leaseIncarnation     int64     // that the lease applies to
-	acknowledgedEnd      int64     // highest end number that the leader has acknowledged
-	synchronised         bool      // the leader has sent full orders on this link
-	startsPermittedUntil time.Time // by the latest orders
+	leaseIncarnation     int64              // that the lease applies to
+	acknowledgedEnd      int64              // highest end number that the leader has acknowledged
+	synchronised         bool               // the leader has sent full orders on this link
+	absentRuns           map[pv.RunRef]bool // reported absent before their start, under this token
+	startsPermittedUntil time.Time          // by the latest orders
 	runs                 map[pv.RunRef]*run
 	callsInProgress      [callKinds]map[int64]time.Time // by number: when each was sent
 	lastCallNumber       int64
@@ -103,7 +104,7 @@
 	v := &Supervisor{
 		settings: s, worker: d.Worker, logger: d.Logger, metrics: newMetrics(d.Registry),
 		pollWake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
-		runs: map[pv.RunRef]*run{}, unsentLimits: map[pv.RunRef]time.Time{}, throttler: newThrottler(), deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
+		runs: map[pv.RunRef]*run{}, unsentLimits: map[pv.RunRef]time.Time{}, absentRuns: map[pv.RunRef]bool{}, throttler: newThrottler(), deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
 	}
 	v.eventLoop = kernel.NewEventLoop(tickInterval, v.tick)
 	v.acceptor = messenger.NewLeaderAcceptor(s.Node, Role, d.Listener, d.Logger, v)
@@ -234,6 +235,7 @@
 	v.state.ID, v.state.Incarnation = id, incarnation
 	clear(v.runs)
 	clear(v.unsentLimits)
+	clear(v.absentRuns)
 	v.lease = pv.WorkerLease{} // its end is a reading of the former incarnation's clock
 	v.reportedEnd, v.acknowledgedEnd, v.polledAt = 0, 0, time.Time{}
 	v.throttler = newThrottler()
