Supervisor: attempts of a start or stop overlap, and an unverified worker is polled at once

What callers saw: with orders to workers unanswered, jobs started seconds late. Each failure asks for a poll that begins later before anything is started, and a poll takes 0.5 s, so nothing was ever started. - A worker that takes more than 0.4 s to answer a stop never confirmed one. A stop or start that gets no answer within 0.5 s is now followed by another attempt while the first goes on; both are idempotent. While starts wait for a poll, polls don't wait for ends. Attempts that a worker refuses at once are 0.5 s apart as well.

--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -9,8 +9,9 @@
 // get no answer soon don't count, so that they hold up no others.
 //
 // A call with an unknown outcome is retried with the same attempt number, which makes it
-// idempotent: the worker treats it as the same run. A stop may be sent while the start of
-// the same run has no answer: the worker then refuses the start, or stops the run.
+// idempotent: the worker treats it as the same run. An attempt that gets no answer soon is
+// followed by another before it has timed out. A stop may be sent while the start of the
+// same run has no answer: the worker then refuses the start, or stops the run.
 
 import (
 	"context"
@@ -40,7 +41,7 @@
 	concurrent int           // calls sent within slowCallDuration
 	timeout    time.Duration // after which the outcome of a call is unknown
 }{
-	kindStop:     {"stop", 4, 400 * time.Millisecond}, // a cancellation must take effect within 3 s, also if two of five stops get no answer
+	kindStop:     {"stop", 4, 2 * time.Second},
 	kindCPULimit: {"cpuLimit", 2, time.Second},
 	kindStart:    {"start", 3, time.Second},
 }
@@ -48,9 +49,9 @@
 // Limits and intervals of calls.
 const (
 	slowCallDuration   = 50 * time.Millisecond  // after which a call doesn't hold up others
-	maxCallsInProgress = 32                     // of one kind
-	startRetryInterval = 250 * time.Millisecond // between attempts of a start
-	stopRetryInterval  = 100 * time.Millisecond // between attempts of a stop
+	maxCallsInProgress = 64                     // of one kind
+	startRetryInterval = 500 * time.Millisecond // between attempts of a start
+	stopRetryInterval  = 500 * time.Millisecond // between attempts of a stop; a cancellation must take effect within 3 s, also if two of five stops get no answer
 )
 
 // call is one call to the worker.
@@ -92,12 +93,12 @@
 		}
 	}
 	for v.mayCall(now, kindStop) {
-		r := v.longestDue(now, func(r *run) bool { return r.phase == stopping && !r.stopPending })
+		r := v.longestDue(now, func(r *run) bool { return r.phase == stopping })
 		if r == nil {
 			break
 		}
-		r.stopPending = true
-		v.makeCall(call{kind: kindStop, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+		v.makeCall(v.ctx, call{kind: kindStop, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+		r.nextCallAt = now.Add(stopRetryInterval)
 	}
 	for v.mayCall(now, kindCPULimit) {
 		r := v.longestUnsentLimit()
@@ -106,16 +107,17 @@
 		}
 		ref := r.order.Run
 		r.limitPending = true
-		v.makeCall(call{kind: kindCPULimit, dueAt: v.unsentLimits[ref], sentAt: now, order: r.order, cpuLimitPercent: v.throttler.sentPercents[ref]})
+		v.makeCall(v.ctx, call{kind: kindCPULimit, dueAt: v.unsentLimits[ref], sentAt: now, order: r.order, cpuLimitPercent: v.throttler.sentPercents[ref]})
 		delete(v.unsentLimits, ref)
 	}
 	for v.mayCall(now, kindStart) {
-		r := v.longestDue(now, func(r *run) bool { return r.phase == starting && !r.startPending && v.mayStart(now, r) })
+		r := v.longestDue(now, func(r *run) bool { return r.phase == starting && v.mayStart(now, r) })
 		if r == nil {
 			break
 		}
-		r.startPending = true
-		v.makeCall(call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+		r.startsInProgress++
+		v.makeCall(v.ctx, call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+		r.nextCallAt = now.Add(startRetryInterval)
 	}
 }
 
@@ -194,7 +196,7 @@
 
 // makeCall makes a call with the newest lease, on a goroutine of its own, and handles its
 // result on the event loop.
-func (v *Supervisor) makeCall(c call) {
+func (v *Supervisor) makeCall(ctx context.Context, c call) {
 	limits := callLimits[c.kind]
 	c.worker, c.incarnation, c.lease = v.state.ID, v.leaseIncarnation, v.lease
 	v.lastCallNumber++
@@ -202,7 +204,7 @@
 	v.callsInProgress[c.kind][number] = c.sentAt
 	v.metrics.callWait.WithLabelValues(limits.name).Observe(c.sentAt.Sub(c.dueAt).Seconds())
 	v.goroutines.Go(func() {
-		timed, cancel := context.WithTimeout(v.ctx, limits.timeout)
+		timed, cancel := context.WithTimeout(ctx, limits.timeout)
 		defer cancel()
 		var handle func()
 		switch c.kind {
@@ -229,29 +231,27 @@
 	if !ok || c.incarnation != v.state.Incarnation {
 		return
 	}
-	r.startPending = false
+	r.startsInProgress--
 	v.metrics.starts.WithLabelValues(string(answer)).Inc()
 	v.logger.Info("supervisor: start call ended", append(c.logFields(err), zap.String("answer", string(answer)), zap.Duration("leaseEnd", c.lease.End))...)
 	r.maybeSent = r.maybeSent || answer != pv.StartNotSent
-	if answer == pv.StartNotSent || answer == pv.StartUnknown {
-		v.markUnverified()
-	}
 	if r.phase != starting {
-		r.phasePoll = v.pollNumber
+		r.phasePoll = max(r.phasePoll, v.pollNumber)
 		v.wakePoll()
 		return
 	}
+	if answer == pv.StartNotSent || answer == pv.StartUnknown {
+		v.markUnverified()
+	}
 	switch answer {
 	case pv.StartAccepted:
 		r.phase, r.phasePoll, r.acceptedAt = started, v.pollNumber, time.Now()
 		v.limitNewFiller(r.order)
 	case pv.StartUnknown:
-		r.nextCallAt = time.Now().Add(startRetryInterval)
 		if !errors.Is(err, context.DeadlineExceeded) {
 			r.acceptedAt = time.Now() // the connection broke, perhaps as the worker crashed on this start
 		}
-	case pv.StartNotSent, pv.StartFenced, pv.StartLeaseExpired:
-		r.nextCallAt = time.Now().Add(startRetryInterval)
+	case pv.StartNotSent, pv.StartFenced, pv.StartLeaseExpired: // retried
 	default:
 		v.stopRun(c.order.Run, string(answer))
 	}
@@ -265,12 +265,13 @@
 	if !ok || c.incarnation != v.state.Incarnation {
 		return
 	}
-	r.stopPending = false
 	v.logger.Info("supervisor: stop call ended", c.logFields(err)...)
+	if r.phase != stopping {
+		return // an earlier or later attempt has confirmed it
+	}
 	if err != nil {
 		v.metrics.stopRetries.Inc()
 		v.markUnverified()
-		r.nextCallAt = time.Now().Add(stopRetryInterval)
 		return
 	}
 	r.phase, r.phasePoll = stopped, v.pollNumber
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -27,17 +27,16 @@
 
 // run is an ordered run, or one to be stopped.
 type run struct {
-	order        pv.RunOrder
-	phase        phase
-	phasePoll    int64     // polls with a higher number began after the phase was reached
-	startPending bool      // a start call is in progress
-	stopPending  bool      // a stop call is in progress
-	limitPending bool      // a call that sets its CPU limit is in progress
-	nextCallAt   time.Time // when the next call is due
-	acceptedAt   time.Time // when the worker confirmed the start or broke its connection; zero if neither
-	listed       bool      // a poll has listed it
-	reported     bool      // it has been reported as running
-	maybeSent    bool      // a start may have reached the worker
+	order            pv.RunOrder
+	phase            phase
+	phasePoll        int64     // polls with a higher number began after the phase was reached
+	startsInProgress int       // start calls in progress
+	limitPending     bool      // a call that sets its CPU limit is in progress
+	nextCallAt       time.Time // when the next call is due
+	acceptedAt       time.Time // when the worker confirmed the start or broke its connection; zero if neither
+	listed           bool      // a poll has listed it
+	reported         bool      // it has been reported as running
+	maybeSent        bool      // a start may have reached the worker
 }
 
 // applyOrders handles full or incremental orders of the leader.
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -83,8 +83,8 @@
 		q.acknowledged = 0 // a new incarnation would drop ends that were never reported
 	}
 	for _, r := range v.runs {
-		if v.canReport() && (r.phase == stopped && !r.startPending || r.phase == started && !r.listed) {
-			q.wait = 0 // report its state without delay
+		if v.canReport() && (r.phase == stopped && r.startsInProgress == 0 || r.phase == starting && v.unverified() || r.phase == started && !r.listed) {
+			q.wait = 0 // report its state, or let it start, without delay
 			break
 		}
 	}
@@ -181,7 +181,7 @@
 		case started:
 			v.stopRun(ref, "vanished")
 		case stopped:
-			if !reportable || r.startPending {
+			if !reportable || r.startsInProgress > 0 {
 				continue
 			}
 			delete(v.runs, ref)
