Supervisor: the permission to start counts from what the leader knew, and bounds the calls

What callers could see: starts 0.5 s and more beyond the 3 s in which a cancellation takes effect. Orders that the network or a process delayed counted as fresh when they were handled, and a start call went on for up to a second after its permission had ended or its run's stop was ordered, perhaps still without a connection.

Orders now carry the last reading of the worker's clock that the leader has received. The supervisor knows when its worker's clock read that, and permits starts for 1.1 s from then. A start call ends with its permission and with its run's stop order. Orders of a leader of the former version count from their arrival.

--- a/leader/term.go
+++ b/leader/term.go
@@ -329,6 +329,6 @@
 func ordersFrame(o planner.Orders) *wire.LinkFrame {
 	orders := messenger.EncodeOrders(o.Worker, o.Incarnation, o.Lease, o.Acknowledged, o.Full, o.Starts, o.Stops)
 	orders.Presses = messenger.EncodeCoefficients(o.Coefficients)
-	orders.StartsWithheld = o.StartsWithheld
+	orders.StartsWithheld, orders.ClockMs = o.StartsWithheld, o.Clock.Milliseconds()
 	return &wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}}
 }
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -21,6 +21,9 @@
 	// StartsWithheld states that the leader may not start runs at present. The supervisor
 	// then lets the permission of earlier orders run out.
 	StartsWithheld bool
+	// Clock is the last reading of the worker's clock, or 0 if there is none. It tells the
+	// supervisor how old the orders are.
+	Clock time.Duration
 }
 
 // leaseRenewalInterval is the longest time between two renewals of a worker's lease.
@@ -47,7 +50,7 @@
 	if !w.fullOrdersDue && !renewalDue && (len(w.unsentStarts) == 0 || !permissions.StartRuns) && len(w.unsentStops) == 0 && len(w.strayRuns) == 0 && w.committedEnd == w.acknowledgedEnd {
 		return Orders{}, false
 	}
-	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue, StartsWithheld: !permissions.StartRuns}
+	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue, StartsWithheld: !permissions.StartRuns, Clock: w.clock}
 	o.Lease.FencingToken = w.fencingToken
 	if permissions.RenewLease {
 		o.Lease.End = w.renewLease(now, p.settings)
--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -59,6 +59,7 @@
 	kind            callKind
 	dueAt           time.Time // since when it could have been sent
 	sentAt          time.Time
+	deadline        time.Time // of a kindStart: it must not be sent later
 	worker          pv.WorkerID
 	incarnation     int64
 	lease           pv.WorkerLease
@@ -115,8 +116,11 @@
 		if r == nil {
 			break
 		}
+		if r.cancelStarts == nil {
+			r.startCtx, r.cancelStarts = context.WithCancel(v.ctx)
+		}
 		r.startsInProgress++
-		v.makeCall(v.ctx, call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+		v.makeCall(r.startCtx, call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, deadline: v.startsPermittedUntil, order: r.order})
 		r.nextCallAt = now.Add(startRetryInterval)
 	}
 }
@@ -161,8 +165,9 @@
 	maxPollAgeForStart = 1200 * time.Millisecond // since the last successful poll
 	// startPermission is how long orders of a leader that may start runs permit starts. A
 	// cancellation that the leader hasn't read yet is up to 1.8 s old at that time, and no
-	// run may start later than 3 s after it.
-	startPermission = 1200 * time.Millisecond
+	// run may start later than 3 s after it. It counts from the reading of the worker's
+	// clock that the leader had received last, so that delayed orders permit less.
+	startPermission = 1100 * time.Millisecond
 )
 
 // mayStart reports whether a start may be sent. A worker that doesn't answer polls
@@ -206,6 +211,10 @@
 	v.goroutines.Go(func() {
 		timed, cancel := context.WithTimeout(ctx, limits.timeout)
 		defer cancel()
+		if !c.deadline.IsZero() {
+			timed, cancel = context.WithDeadline(timed, c.deadline)
+			defer cancel()
+		}
 		var handle func()
 		switch c.kind {
 		case kindCPULimit:
--- a/supervisor/calls_test.go
+++ b/supervisor/calls_test.go
@@ -186,6 +186,7 @@
 
 	mu          sync.Mutex
 	absents     map[pv.RunRef]time.Time // when a run was first reported absent
+	clock       time.Duration           // last reported reading of the worker's clock
 	stalledTill time.Time               // what the leader writes to its link arrives then at the earliest
 }
 
@@ -244,7 +245,11 @@
 			}
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			for _, ref := range messenger.DecodeReport(r).Absent {
+			report := messenger.DecodeReport(r)
+			if report.Polled {
+				h.clock = report.Runs.Clock
+			}
+			for _, ref := range report.Absent {
 				if h.absents[ref].IsZero() {
 					h.absents[ref] = time.Now()
 				}
@@ -284,7 +289,11 @@
 // send sends orders and waits until they are applied.
 func (h *callHarness) send(full bool, starts []pv.RunOrder, stops ...pv.RunRef) {
 	l := pv.WorkerLease{FencingToken: h.epoch, End: h.newestLeaseEnd()}
-	h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: messenger.EncodeOrders("w", 1, l, 0, full, starts, stops)}})
+	orders := messenger.EncodeOrders("w", 1, l, 0, full, starts, stops)
+	h.mu.Lock()
+	orders.ClockMs = h.clock.Milliseconds()
+	h.mu.Unlock()
+	h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}})
 	synctest.Wait()
 }
 
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -6,6 +6,7 @@
 // can't start any more and is reported as absent.
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,8 +30,10 @@
 type run struct {
 	order            pv.RunOrder
 	phase            phase
-	phasePoll        int64     // polls with a higher number began after the phase was reached
-	startsInProgress int       // start calls in progress
+	phasePoll        int64           // polls with a higher number began after the phase was reached
+	startsInProgress int             // start calls in progress
+	startCtx         context.Context // of the start calls; nil before the first
+	cancelStarts     context.CancelFunc
 	limitPending     bool      // a call that sets its CPU limit is in progress
 	nextCallAt       time.Time // when the next call is due
 	acceptedAt       time.Time // when the worker confirmed the start or broke its connection; zero if neither
@@ -64,7 +67,7 @@
 	}
 	v.lease, v.leaseIncarnation = pv.WorkerLease{FencingToken: o.Token, End: until}, o.Life
 	if !o.StartsWithheld {
-		v.startsPermittedUntil = now.Add(startPermission)
+		v.permitStarts(now, time.Duration(o.ClockMs)*time.Millisecond)
 	}
 	if o.Acknowledged > v.acknowledgedEnd || o.Whole {
 		v.acknowledgedEnd = o.Acknowledged
@@ -102,6 +105,18 @@
 	v.makeDueCalls(now)
 }
 
+// permitStarts permits starts for startPermission, counted from when the worker's clock
+// read the given time, or from now if that isn't known.
+func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
+	from := now
+	if clock > 0 && !v.polledAt.IsZero() {
+		from = v.polledAt.Add(clock - v.polledClock)
+	}
+	if until := from.Add(startPermission); until.After(v.startsPermittedUntil) {
+		v.startsPermittedUntil = until
+	}
+}
+
 // stopRun starts to stop a run, whether or not it was ordered.
 func (v *Supervisor) stopRun(ref pv.RunRef, reason string) {
 	r, ok := v.runs[ref]
@@ -113,6 +128,9 @@
 		return
 	}
 	r.phase, r.nextCallAt = stopping, time.Now()
+	if r.cancelStarts != nil {
+		r.cancelStarts()
+	}
 	v.metrics.stops.WithLabelValues(reason).Inc()
 	v.logger.Info("supervisor: stopping run", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.String("reason", reason), zap.Int64("token", v.lease.FencingToken))
 }
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	now := time.Now()
-	v.polledAt = now
+	v.polledAt, v.polledClock = now, runs.Clock
 	if q.number > v.unverifiedSince {
 		v.unverifiedSince = 0
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -90,9 +90,10 @@
 	reportedEnd          int64                   // highest end number reported under this lease
 	runsReportedAt       time.Time
 	pollNumber           int64
-	unverifiedSince      int64     // pollNumber when a call last failed; 0 once a later poll has succeeded
-	polledAt             time.Time // when this incarnation last answered a poll
-	brokenAt             time.Time // when the worker's connections broke, if the last poll failed for that
+	unverifiedSince      int64         // pollNumber when a call last failed; 0 once a later poll has succeeded
+	polledAt             time.Time     // when this incarnation last answered a poll
+	polledClock          time.Duration // the reading of its clock then
+	brokenAt             time.Time     // when the worker's connections broke, if the last poll failed for that
 	pollFailing          bool
 	throttler            throttler
 	stateUnsent          bool
