Planner: a start that no longer fits a shrunken worker isn't sent

Cause: new runs are placed by the capacity of the newest heartbeat, but a run that was assigned before and whose start the worker had left unanswered was started whatever had become of the capacity, by this leader's supervisor or for the next leader. After each poll the runs that don't fit beside those that the worker has confirmed, or is stopping, are now stopped and start elsewhere. What runs goes on.

--- a/planner/place.go
+++ b/planner/place.go
@@ -148,11 +148,7 @@
 	if s.spec.RequiredLabel != "" && !slices.Contains(w.state.Labels, s.spec.RequiredLabel) {
 		return false
 	}
-	size := s.spec.Size
-	if s.spec.Filler {
-		size.MilliCores = 0
-	}
-	if !w.reserved.Add(size).Fits(w.state.Capacity) {
+	if !w.reserved.Add(reservation(s.spec)).Fits(w.state.Capacity) {
 		return false
 	}
 	if s.spec.MaxPerWorker > 0 {
--- a/planner/report.go
+++ b/planner/report.go
@@ -147,6 +147,7 @@
 	}
 	p.learnFromPoll(w, poll.Running)
 	if w.fencingTokenConfirmed {
+		p.stopRunsOverCapacity(w)
 		return
 	}
 	// The worker has answered under the new token, so it refuses starts of earlier
@@ -157,6 +158,33 @@
 	p.endCrashedRuns(now, w, w.runsBefore(w.state.Incarnation), "workerRestarted")
 	p.settleLapsedRuns(now, w)
 	p.endReplacedWorkers(now, w)
+	p.stopRunsOverCapacity(w)
+}
+
+// stopRunsOverCapacity stops the runs that haven't started as far as is known and don't fit
+// beside the others any more, because the worker's capacity has shrunk: their starts may
+// still be sent.
+func (p *Planner) stopRunsOverCapacity(w *worker) {
+	if w.reserved.Fits(w.state.Capacity) {
+		return
+	}
+	var reserved pv.Resources
+	var unconfirmed []*run
+	for _, r := range w.runs {
+		if r.observed || r.stopping {
+			reserved = reserved.Add(reservation(r.task.step.spec))
+		} else {
+			unconfirmed = append(unconfirmed, r)
+		}
+	}
+	slices.SortFunc(unconfirmed, func(a, b *run) int { return a.assignedAt.Compare(b.assignedAt) })
+	for _, r := range unconfirmed {
+		if with := reserved.Add(reservation(r.task.step.spec)); with.Fits(w.state.Capacity) {
+			reserved = with
+		} else {
+			p.stopRun(r, "capacityShrunk")
+		}
+	}
 }
 
 // endReplacedWorkers ends the runs of earlier workers at the address of w, which has
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -141,17 +141,25 @@
 	p.placementDue = true
 }
 
+// reservation returns the capacity that a task of the step reserves. Fillers reserve no
+// cores.
+func reservation(s *pv.Step) pv.Resources {
+	size := s.Size
+	if s.Filler {
+		size.MilliCores = 0
+	}
+	return size
+}
+
 // adjustReserved adds (sign 1) or subtracts (sign -1) a task of the step.
 func (w *worker) adjustReserved(s *pv.Step, sign int64) {
 	w.colocation = nil
-	size := s.Size
 	if s.Filler {
-		w.fillerMilliCores += sign * size.MilliCores
-		size.MilliCores = 0
+		w.fillerMilliCores += sign * s.Size.MilliCores
 	}
 	if s.LatencyTarget > 0 {
 		w.servingRuns += int(sign)
-		w.servingMilliCores += sign * size.MilliCores
+		w.servingMilliCores += sign * reservation(s).MilliCores
 	}
-	w.reserved = w.reserved.Add(size.Scale(sign, 1))
+	w.reserved = w.reserved.Add(reservation(s).Scale(sign, 1))
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -234,6 +234,7 @@
 	}
 	v.logger.Info("supervisor: new worker incarnation", zap.String("worker", string(id)), zap.Int64("life", incarnation), zap.Int64("formerLife", v.state.Incarnation))
 	v.state.ID, v.state.Incarnation = id, incarnation
+	v.state.Capacity, v.state.Labels = pv.Resources{}, nil // until its first heartbeat
 	clear(v.runs)
 	clear(v.unsentLimits)
 	clear(v.absentRuns)
