Planner: blame suspected tasks again that crash their worker somewhat later

A start or poll that ran into its own time-out counted as a connection that broke, on the stand-in workers; the call's context decides now.

--- a/leader/peer.go
+++ b/leader/peer.go
@@ -153,7 +153,7 @@
 		p.worker = report.Worker.ID
 		p.term.planner.Connect(now, p.worker)
 	}
-	out := planner.Report{Worker: report.Worker, Deregistered: report.Deregistered, FencingToken: report.FencingToken, Absent: report.Absent, Unanswered: report.Unanswered, RecentStarts: report.RecentStarts, BrokeOnStart: report.BrokeOnStart, Former: report.Former}
+	out := planner.Report{Worker: report.Worker, Deregistered: report.Deregistered, FencingToken: report.FencingToken, Absent: report.Absent, Unanswered: report.Unanswered, RecentStarts: report.RecentStarts, Unlisted: report.Unlisted, BrokeOnStart: report.BrokeOnStart, Former: report.Former}
 	if report.Polled {
 		out.Poll = &planner.PollResult{Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, EndsAbove: report.EndsAbove}
 	}
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -23,6 +23,7 @@
 	EndsAbove    int64       // Runs.Ended holds all unacknowledged ends with a higher sequence number
 	Unanswered   bool        // the worker has stopped answering polls
 	RecentStarts []pv.RunRef // if Unanswered: runs that it had accepted shortly before
+	Unlisted     int         // the first ones of RecentStarts, which no poll has listed
 	BrokeOnStart bool        // if Unanswered: its connections broke right after a start
 	Former       bool        // another worker or incarnation has replaced this one since
 }
@@ -64,7 +65,7 @@
 			return &wire.RunEnd{Number: e.Sequence, Run: encodeRun(e.Run), Kind: string(e.Kind), Checkpoint: e.Checkpoint}
 		}),
 		Gone: mapSlice(r.Absent, encodeRun), EndsAfter: r.EndsAbove, Address: encodeAddress(w.Address),
-		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, encodeRun), Former: r.Former, BrokeOnStart: r.BrokeOnStart,
+		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, encodeRun), Former: r.Former, UnlistedStarts: int32(r.Unlisted), BrokeOnStart: r.BrokeOnStart,
 	}
 }
 
@@ -115,7 +116,7 @@
 			}),
 		},
 		Absent: mapSlice(r.Gone, decodeRun), EndsAbove: r.EndsAfter,
-		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, decodeRun), Former: r.Former, BrokeOnStart: r.BrokeOnStart,
+		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, decodeRun), Former: r.Former, Unlisted: int(r.UnlistedStarts), BrokeOnStart: r.BrokeOnStart,
 	}
 }
 
--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -19,6 +19,7 @@
 	maxStartCrashes      = 3                      // crashes on the start of a task
 	maxStartCrashesAlone = 2                      // the same, the last time alone and with the worker's connections breaking at once
 	probationDuration    = 250 * time.Millisecond // from the first to the last poll of a probation
+	suspicionDuration    = time.Second            // from the first poll that lists a run until its task isn't suspected any more
 )
 
 // startsAlone reports whether the task is suspected, so that it has to be started alone.
@@ -38,11 +39,17 @@
 }
 
 // suspectRecentStarts marks the runs that an incarnation of the worker had accepted when it
-// stopped answering.
+// stopped answering: those that no poll had listed, or all if there are none, and those of
+// tasks that are suspected already.
 func (w *worker) suspectRecentStarts(report Report) {
-	for _, ref := range report.RecentStarts {
-		if r, ok := w.runs[ref]; ok && r.incarnation == report.Worker.Incarnation {
-			r.observed, r.suspected, r.brokeOnStart = true, true, report.BrokeOnStart
+	for i, ref := range report.RecentStarts {
+		r, ok := w.runs[ref]
+		if !ok || r.incarnation != report.Worker.Incarnation {
+			continue
+		}
+		r.observed = true
+		if i < report.Unlisted || report.Unlisted == 0 || r.task.startCrashes > 0 {
+			r.suspected, r.brokeOnStart = true, report.BrokeOnStart
 		}
 	}
 }
@@ -57,6 +64,8 @@
 	if r.worker.probation == r && now.Sub(r.observedAt) >= probationDuration {
 		r.worker.probation = nil
 		p.placementDue = true
+	}
+	if now.Sub(r.observedAt) >= suspicionDuration {
 		p.endSuspicion(t)
 	}
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -28,6 +28,7 @@
 	Poll         *PollResult // nil when the worker has not answered a poll under FencingToken
 	Unanswered   bool        // the worker has stopped answering polls
 	RecentStarts []pv.RunRef // if Unanswered: the runs that it had accepted shortly before
+	Unlisted     int         // the first ones of RecentStarts, which no poll had listed
 	BrokeOnStart bool        // if Unanswered: the worker's connections broke right after it had accepted one of them
 	Former       bool        // another worker or incarnation has replaced this one since; only RecentStarts applies
 }
--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +59,7 @@
 	dueAt           time.Time // since when it could have been sent
 	sentAt          time.Time
 	deadline        time.Time // of a kindStart: it must not be sent later
+	timedOut        bool      // of a kindStart: it has ended with its context
 	worker          pv.WorkerID
 	incarnation     int64
 	lease           pv.WorkerLease
@@ -225,6 +225,7 @@
 			handle = func() { v.handleStop(c, err) }
 		case kindStart:
 			answer, err := v.worker.Start(timed, c.worker, c.lease, c.order)
+			c.timedOut = timed.Err() != nil
 			handle = func() { v.handleStart(c, answer, err) }
 		}
 		v.eventLoop.Post(func() {
@@ -257,7 +258,7 @@
 		r.phase, r.phasePoll, r.acceptedAt = started, v.pollNumber, time.Now()
 		v.limitNewFiller(r.order)
 	case pv.StartUnknown:
-		if !errors.Is(err, context.DeadlineExceeded) {
+		if !c.timedOut {
 			r.acceptedAt = time.Now() // the connection broke, perhaps as the worker crashed on this start
 		}
 	case pv.StartNotSent, pv.StartFenced, pv.StartLeaseExpired: // retried
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +23,7 @@
 	wait         time.Duration
 	number       int64
 	ok           bool // false when no poll is to be made
+	timedOut     bool // it has ended with its context
 }
 
 // pollWorker polls the worker until the context ends.
@@ -39,6 +39,7 @@
 		}
 		timed, cancel := context.WithTimeout(ctx, q.wait+pollMargin)
 		runs, err := v.worker.Poll(timed, q.worker, q.lease, q.acknowledged, q.wait)
+		q.timedOut = timed.Err() != nil
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -114,10 +115,11 @@
 		if !v.pollFailing {
 			v.pollFailing = true
 			v.brokenAt = time.Time{}
-			if !errors.Is(err, context.DeadlineExceeded) {
+			if !q.timedOut {
 				v.brokenAt = time.Now()
 			}
-			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Stringers("startedShortlyBefore", v.recentStarts()), logfield.Error(err))
+			recent, unlisted := v.recentStarts()
+			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Stringers("startedShortlyBefore", recent), zap.Int("unlisted", unlisted), logfield.Error(err))
 			v.reportUnanswered()
 		}
 		v.metrics.pollFailures.Inc()
@@ -202,14 +204,14 @@
 	return len(runs.Ended) > 0
 }
 
-// recentStartDuration is the age of a run up to which it is suspected when the worker
-// stops answering and no younger run is known.
+// recentStartDuration is the age of a run up to which it may be the cause when the worker
+// stops answering.
 const recentStartDuration = time.Second
 
-// recentStarts returns the runs that the worker accepted last: those that no poll has
-// listed, or else those accepted within recentStartDuration before the last poll. If the
-// worker has crashed, one of them may be the cause.
-func (v *Supervisor) recentStarts() []pv.RunRef {
+// recentStarts returns the runs that the worker accepted last, and how many of them no poll
+// has listed; these come first. The others were accepted within recentStartDuration before
+// the last poll. If the worker has crashed, one of them may be the cause.
+func (v *Supervisor) recentStarts() (starts []pv.RunRef, unlistedCount int) {
 	var unlisted, recent []pv.RunRef
 	for ref, r := range v.runs {
 		switch {
@@ -220,10 +222,7 @@
 			recent = append(recent, ref)
 		}
 	}
-	if len(unlisted) > 0 {
-		return unlisted
-	}
-	return recent
+	return append(unlisted, recent...), len(unlisted)
 }
 
 // maxCrashDelay is the longest time between a start and the crash that it causes.
@@ -242,8 +241,8 @@
 
 // unansweredReport returns the report that the worker has stopped answering.
 func (v *Supervisor) unansweredReport() messenger.Report {
-	recent := v.recentStarts()
-	return messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Unanswered: true, RecentStarts: recent, BrokeOnStart: v.brokeOnStart(recent)}
+	recent, unlisted := v.recentStarts()
+	return messenger.Report{Worker: v.state, Deregistered: v.deregistered, FencingToken: v.lease.FencingToken, Unanswered: true, RecentStarts: recent, Unlisted: unlisted, BrokeOnStart: v.brokeOnStart(recent)}
 }
 
 // reportUnanswered reports that the worker has stopped answering.
