Supervisor: one heartbeat of another writer doesn't replace the worker

What would be seen: one heartbeat with another id or a later start replaced the worker beside the supervisor for good: its own heartbeats looked late, its runs were forgotten and the leader was told of a worker that doesn't exist. One with a too high number hid all later ones, so that the worker never drained.

A heartbeat of another identity is now held while the worker answers polls, and nothing is started until a poll that begins later: the worker's answer under its present identity drops it, no answer or another one applies it.

TestNoStartOfFormerIncarnation guards that no start goes out between the heartbeat and the poll.

--- a/supervisor/doc.go
+++ b/supervisor/doc.go
@@ -6,10 +6,12 @@
 // leader and the worker.
 //
 // Files:
+//   - calls.go: choice of the calls that carry the orders out, and their results
+//   - heartbeat.go: choice of the heartbeats that are the worker's
 //   - limits.go: transmission of CPU limits to the worker
 //   - metrics.go: Prometheus metrics
-//   - orders.go: ordered runs and the calls that carry the orders out
+//   - orders.go: ordered runs
 //   - poll.go: poll loop of the worker
-//   - supervisor.go: state, and the handlers of the leader's link and of heartbeats
+//   - supervisor.go: state, and the handlers of the leader's link
 //   - throttler.go: computation of CPU limits for fillers
 package supervisor
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -124,6 +124,7 @@
 		}
 		v.metrics.pollFailures.Inc()
 		v.markUnverified()
+		v.applyHeldHeartbeat(time.Now())
 		return false
 	}
 	if v.pollFailing {
@@ -131,7 +132,9 @@
 		v.logger.Info("supervisor: worker answers polls again", zap.String("worker", string(q.worker)), zap.Int64("life", runs.Incarnation))
 	}
 	if runs.Incarnation != v.state.Incarnation {
-		if runs.Incarnation > v.state.Incarnation {
+		if s := v.heldHeartbeat; s != nil && s.Incarnation == runs.Incarnation {
+			v.applyHeldHeartbeat(time.Now())
+		} else if runs.Incarnation > v.state.Incarnation {
 			v.startIncarnation(q.worker, runs.Incarnation)
 			v.stateUnsent = true
 			v.sendState()
@@ -141,7 +144,7 @@
 	now := time.Now()
 	v.polledAt, v.polledClock = now, runs.Clock
 	if q.number > v.unverifiedSince {
-		v.unverifiedSince = 0
+		v.unverifiedSince, v.heldHeartbeat = 0, nil
 	}
 	out := messenger.Report{Worker: v.state, Deregistered: v.deregistered, Polled: true, FencingToken: q.lease.FencingToken}
 	out.Runs = pv.WorkerRuns{Incarnation: runs.Incarnation, Clock: runs.Clock}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -73,6 +73,9 @@
 	state                pv.WorkerState
 	hasState             bool // a heartbeat has been received
 	deregistered         bool
+	identifiedAt         time.Time       // when the worker's id and incarnation were taken from a heartbeat
+	heldHeartbeat        *pv.WorkerState // of another id or incarnation, until a poll shows which one the worker has
+	lowSequences         lowSequences
 	formerWorkers        []pv.WorkerState       // deregistered, reported to new leaders
 	crashedWorkers       []messenger.Report     // on former workers that stopped answering, sent to new leaders
 	deregistrations      chan pv.Deregistration // read by the directory
@@ -175,29 +178,6 @@
 	}
 }
 
-// Heartbeat handles a heartbeat of the worker. Late ones are ignored.
-func (v *Supervisor) Heartbeat(s pv.WorkerState) {
-	v.eventLoop.Post(func() {
-		if v.hasState && (s.Incarnation < v.state.Incarnation || s.Incarnation == v.state.Incarnation && s.ID == v.state.ID && s.Sequence <= v.state.Sequence) {
-			return // late, or of a former incarnation
-		}
-		changed := !v.hasState || s.ID != v.state.ID || s.Draining != v.state.Draining || s.Service != v.state.Service || s.Capacity != v.state.Capacity
-		if s.ID != v.state.ID || s.Incarnation != v.state.Incarnation {
-			v.startIncarnation(s.ID, s.Incarnation)
-			changed = true
-		}
-		if s.Draining && !v.state.Draining {
-			v.logger.Info("supervisor: worker is draining", zap.String("worker", string(s.ID)), zap.Int64("life", s.Incarnation), zap.Duration("timeLeft", s.DrainTimeLeft))
-		}
-		s.Location.Region, s.Address = v.settings.Region, v.settings.Worker
-		v.state, v.hasState, v.deregistered = s, true, false
-		if changed {
-			v.stateUnsent = true
-			v.sendState()
-		}
-	})
-}
-
 // Deregister handles the worker's deregistration.
 func (v *Supervisor) Deregister(id pv.WorkerID) {
 	v.eventLoop.Post(func() {
@@ -235,6 +215,7 @@
 	v.logger.Info("supervisor: new worker incarnation", zap.String("worker", string(id)), zap.Int64("life", incarnation), zap.Int64("formerLife", v.state.Incarnation))
 	v.state.ID, v.state.Incarnation = id, incarnation
 	v.state.Capacity, v.state.Labels = pv.Resources{}, nil // until its first heartbeat
+	v.lowSequences, v.heldHeartbeat = lowSequences{}, nil
 	clear(v.runs)
 	clear(v.unsentLimits)
 	clear(v.absentRuns)
