Supervisor: three faults of the calls that overlap, found in review

- A run was reported absent while a start of it was in progress: a retry is due before the call has ended, and whether a start may have reached the worker was noted at its end.
The task could have run twice.
- The first report to a new leader could leave out the running runs, because a poll under the former token counted as reported.
The permission to start no longer counts from later than now, if a worker's clock went back.

--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -182,9 +182,9 @@
 	if now.Sub(v.polledAt) < maxPollAgeForStart {
 		return !v.unverified() && !v.deregistered && now.Before(v.startsPermittedUntil)
 	}
-	if r.order.FirstSend && !r.maybeSent && v.canReport() {
+	if r.order.FirstSend && !r.maybeSent && r.startsInProgress == 0 && v.canReport() {
 		ref := r.order.Run
-		delete(v.runs, ref)
+		v.forgetRun(ref)
 		v.absentRuns[ref] = true
 		v.metrics.stops.WithLabelValues("workerLost").Inc()
 		v.logger.Info("supervisor: run reported absent before its start: last poll too old", zap.Stringer("task", ref.Task), zap.Int("attempt", ref.Attempt), zap.Int64("lookAgeMs", now.Sub(v.polledAt).Milliseconds()))
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -58,7 +58,7 @@
 		clear(v.absentRuns)
 	}
 	if o.Token != v.lease.FencingToken || o.Life != v.leaseIncarnation || o.Whole {
-		v.reportedEnd = 0
+		v.reportedEnd, v.runsReportedAt = 0, time.Time{}
 		v.wakePoll()
 	}
 	until := time.Duration(o.UntilMs) * time.Millisecond
@@ -105,6 +105,15 @@
 	v.makeDueCalls(now)
 }
 
+// forgetRun drops a run that has ended or never started.
+func (v *Supervisor) forgetRun(ref pv.RunRef) {
+	if r, ok := v.runs[ref]; ok && r.cancelStarts != nil {
+		r.cancelStarts()
+	}
+	delete(v.runs, ref)
+	v.throttler.forget(ref)
+}
+
 // permitStarts permits starts for startPermission, counted from when the worker's clock
 // read the given time, or from now if that isn't known.
 func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
@@ -112,6 +121,9 @@
 	if clock > 0 && !v.polledAt.IsZero() {
 		from = v.polledAt.Add(clock - v.polledClock)
 	}
+	if from.After(now) {
+		from = now
+	}
 	if until := from.Add(startPermission); until.After(v.startsPermittedUntil) {
 		v.startsPermittedUntil = until
 	}
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -155,8 +155,7 @@
 	out.EndsAbove = v.reportedEnd
 	for _, e := range runs.Ended {
 		present[e.Run] = true
-		delete(v.runs, e.Run)
-		v.throttler.forget(e.Run)
+		v.forgetRun(e.Run)
 		if reportable && e.Sequence > v.reportedEnd {
 			out.Runs.Ended = append(out.Runs.Ended, e)
 			v.reportedEnd = e.Sequence
@@ -189,17 +188,18 @@
 			if !reportable || r.startsInProgress > 0 {
 				continue
 			}
-			delete(v.runs, ref)
-			v.throttler.forget(ref)
+			v.forgetRun(ref)
 			out.Absent = append(out.Absent, ref)
 			changed = true
 		}
 	}
 	if changed || now.Sub(v.runsReportedAt) >= reportInterval {
 		out.Runs.Running = runs.Running
-		v.runsReportedAt = now
 	}
 	if reportable {
+		if len(out.Runs.Running) > 0 {
+			v.runsReportedAt = now
+		}
 		v.link.Send(frame(out))
 	}
 	v.updateCPULimits(now, runs.Running)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -216,7 +216,9 @@
 	v.state.ID, v.state.Incarnation = id, incarnation
 	v.state.Capacity, v.state.Labels = pv.Resources{}, nil // until its first heartbeat
 	v.lowSequences, v.heldHeartbeat = lowSequences{}, nil
-	clear(v.runs)
+	for ref := range v.runs {
+		v.forgetRun(ref)
+	}
 	clear(v.unsentLimits)
 	clear(v.absentRuns)
 	v.lease = pv.WorkerLease{} // its end is a reading of the former incarnation's clock
