Planner: a new leader doesn't stop the runs of a shrunken worker

What callers could see: running tasks are stopped as capacityShrunk at a change of leader. A supervisor leaves the list of running runs out of some reports, and a new leader took restored runs that weren't listed for ones that hadn't started. They count as started now until a poll lists runs. Found in review; TestNewLeaderKeepsRunsOfShrunkenWorker failed before (4 of 8 running tasks stopped).

--- a/planner/report.go
+++ b/planner/report.go
@@ -148,7 +148,7 @@
 	}
 	p.learnFromPoll(w, poll.Running)
 	if w.fencingTokenConfirmed {
-		p.stopRunsOverCapacity(w)
+		p.stopRunsOverCapacity(w, poll)
 		return
 	}
 	// The worker has answered under the new token, so it refuses starts of earlier
@@ -161,20 +161,22 @@
 	}
 	p.settleLapsedRuns(now, w)
 	p.endReplacedWorkers(now, w)
-	p.stopRunsOverCapacity(w)
+	p.stopRunsOverCapacity(w, poll)
 }
 
 // stopRunsOverCapacity stops the runs that haven't started as far as is known and don't fit
 // beside the others any more, because the worker's capacity has shrunk: their starts may
-// still be sent.
-func (p *Planner) stopRunsOverCapacity(w *worker) {
+// still be sent. A run of a former leader counts as started until a poll lists runs, since
+// supervisors leave the list out of some reports.
+func (p *Planner) stopRunsOverCapacity(w *worker, poll *PollResult) {
 	if w.reserved.Fits(w.state.Capacity) {
 		return
 	}
 	var reserved pv.Resources
 	var unconfirmed []*run
 	for _, r := range w.runs {
-		if r.observed || r.stopping {
+		restored := r.assignedAt.IsZero()
+		if r.observed || r.stopping || restored && len(poll.Running) == 0 {
 			reserved = reserved.Add(reservation(r.task.step.spec))
 		} else {
 			unconfirmed = append(unconfirmed, r)
