Planner: count all crashes that a task may have caused, and keep them for the successor

TestTaskThatCrashesWorkersLaterIsNotStartedSixTimes failed before. - The address of the first crash wasn't stored, so a job failed after two crashes of one worker with a change of leader in between. TestCrashesOfOneWorkerBesideTakeover failed before. An unknown address doesn't count as another one. - A suspected filler was placed where least is reserved, also if others had taken the cores; it then never started and held up its step. TestSuspectedFillerStartsOnFastWorker failed before. Found in review.

--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -20,7 +20,7 @@
 const (
 	maxCrashesAtOnce  = 2                      // crashes counted against a task, the last one right after it had started alone, on another worker than before
 	maxCrashesAlone   = 3                      // the same, the last one during its probation
-	maxCrashes        = 5                      // the same, with other starts
+	maxCrashes        = 5                      // crashes in which the task was a possible cause
 	probationDuration = 250 * time.Millisecond // from the first to the last poll of a probation
 	suspicionDuration = time.Second            // from the first poll that lists a run until its task isn't suspected any more
 	recentCrash       = 10 * time.Second       // after a worker's crash, for which suspected tasks start on others
@@ -65,6 +65,16 @@
 	return out
 }
 
+// scoreForSuspect rates a worker for a suspected task: one on which little is lost if it
+// crashes, but fast enough for a filler to start.
+func (p *Planner) scoreForSuspect(w *worker, s *pv.Step) float64 {
+	score := -w.reserved.DominantShare(w.state.Capacity)
+	if s.Filler && p.fillerSpeed(w, s.Image, s.Size.MilliCores) < minStartSpeed {
+		score -= 2 // more than the share of any worker
+	}
+	return score
+}
+
 // suspectRecentStarts marks the runs that an incarnation of the worker had accepted when it
 // stopped answering. Counted are those that no poll had listed, or all if there are none,
 // and those of tasks that are suspected already; but only the one that started alone, if it
@@ -107,10 +117,10 @@
 }
 
 func (p *Planner) endSuspicion(t *task) {
-	if t.startCrashes > 0 {
+	if t.crashes > 0 {
 		p.markTaskDirty(t)
 	}
-	t.suspected, t.startCrashes = false, 0
+	t.suspected, t.crashes, t.startCrashes = false, 0, 0
 }
 
 // endCrashedRuns ends the runs that were lost in a crash before w answered at the address,
@@ -134,26 +144,32 @@
 			continue
 		}
 		t.suspected = true
-		if !r.counted {
-			continue
-		}
-		t.startCrashes++
+		t.crashes++
 		p.markTaskDirty(t)
-		p.addEvent(Event{Kind: "task suspected", Job: j.spec.ID, Run: r.ref(), Worker: r.worker.state.ID, Incarnation: r.incarnation})
-		limit := maxCrashes
-		address := r.worker.state.Address
-		crashedElsewhere := t.crashAddress != address || !address.IsValid()
-		t.crashAddress = address
-		switch {
-		case r.alone && r.brokeOnStart && crashedElsewhere:
-			limit = maxCrashesAtOnce
-		case r.alone || t.step.spec.Gang:
-			limit = maxCrashesAlone
+		if r.counted {
+			t.startCrashes++
+			p.addEvent(Event{Kind: "task suspected", Job: j.spec.ID, Run: r.ref(), Worker: r.worker.state.ID, Incarnation: r.incarnation})
 		}
-		if t.startCrashes >= limit {
+		if t.crashes >= maxCrashes || r.counted && t.startCrashes >= startCrashLimit(r) {
 			p.endJob(now, j, pv.JobFailed, "crashesWorkers")
 		}
+		if r.counted {
+			t.crashAddress = r.worker.state.Address
+		}
+	}
+}
+
+// startCrashLimit returns how many crashes counted against a task convict it, the last one
+// being that of the given run.
+func startCrashLimit(r *run) int {
+	first, last := r.task.crashAddress, r.worker.state.Address
+	switch {
+	case r.alone && r.brokeOnStart && first != last && first.IsValid():
+		return maxCrashesAtOnce
+	case r.alone || r.task.step.spec.Gang:
+		return maxCrashesAlone
 	}
+	return maxCrashes
 }
 
 // runsBefore returns the worker's runs of incarnations before the given one.
--- a/planner/job.go
+++ b/planner/job.go
@@ -58,6 +58,7 @@
 	avoidWorker      pv.WorkerID    // on which the task failed last
 	migrated         bool           // a task is migrated at most once
 	suspected        bool           // it may have crashed a worker
+	crashes          int            // crashes of workers in which it was a possible cause
 	startCrashes     int            // crashes of workers counted against it
 	crashAddress     netip.AddrPort // of the last such worker
 	waitingSince     time.Time      // first placement pass that considered the task; zero while it runs, and for gangs
--- a/planner/place.go
+++ b/planner/place.go
@@ -57,6 +57,9 @@
 			// no progress on a mostly idle fleet.
 			if w != nil && rs.step.spec.Filler && p.fillerSpeed(w, rs.step.spec.Image, rs.step.spec.Size.MilliCores) < minStartSpeed &&
 				(!fleetIdle || now.Sub(t.waitingSince) < maxFillerWait || rs.step.job.inProgress(now)) {
+				if t.isSuspected() {
+					continue // other fillers have more workers to choose from
+				}
 				break
 			}
 			if w == nil && t.isSuspected() {
@@ -225,7 +228,7 @@
 		}
 		score := p.score(w, t.step)
 		if t.isSuspected() {
-			score = -w.reserved.DominantShare(w.state.Capacity) // little is lost if the worker crashes
+			score = p.scoreForSuspect(w, t.step.spec)
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
--- a/planner/record.go
+++ b/planner/record.go
@@ -94,6 +94,8 @@
 	Incarnation  int64       `json:"life,omitempty"`    // of that worker
 	Address      string      `json:"address,omitempty"` // of that worker
 	Checkpoint   string      `json:"checkpoint,omitempty"`
+	Crashes      int         `json:"crashes,omitempty"` // of workers, see crashes.go
+	CrashAddress string      `json:"crashAddress,omitempty"`
 	StartCrashes int         `json:"startCrashes,omitempty"` // of workers on the task's start
 }
 
@@ -142,7 +144,10 @@
 		if t.attempt == 0 {
 			continue
 		}
-		r := taskRecord{Index: t.index, Attempt: t.attempt, Failures: t.failures, Finished: t.finished, StartCrashes: t.startCrashes}
+		r := taskRecord{Index: t.index, Attempt: t.attempt, Failures: t.failures, Finished: t.finished, Crashes: t.crashes, StartCrashes: t.startCrashes}
+		if t.crashAddress.IsValid() {
+			r.CrashAddress = t.crashAddress.String()
+		}
 		if !t.finished {
 			r.Checkpoint = t.checkpoint
 		}
@@ -298,7 +303,10 @@
 			s.storedGroups[groupOf(t)] = true
 		}
 		t.attempt, t.failures, t.checkpoint, t.storedCheckpoint = r.Attempt, r.Failures, r.Checkpoint, r.Checkpoint
-		t.startCrashes = r.StartCrashes
+		t.crashes, t.startCrashes, t.suspected = r.Crashes, r.StartCrashes, r.Crashes > 0
+		if a, err := netip.ParseAddrPort(r.CrashAddress); err == nil {
+			t.crashAddress = a
+		}
 		if r.Finished {
 			t.markFinished()
 		}
