Supervisor: the result of a call applies to the run that it was made for

An old call could count against another run of the same reference, deleted on its end and listed again by full orders. Found in review, by reading; hardening without a failing test.

--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -63,6 +63,7 @@
 	worker          pv.WorkerID
 	incarnation     int64
 	lease           pv.WorkerLease
+	run             *run
 	order           pv.RunOrder
 	cpuLimitPercent int // of a kindCPULimit
 }
@@ -98,7 +99,7 @@
 		if r == nil {
 			break
 		}
-		v.makeCall(v.ctx, call{kind: kindStop, dueAt: r.nextCallAt, sentAt: now, order: r.order})
+		v.makeCall(v.ctx, call{kind: kindStop, dueAt: r.nextCallAt, sentAt: now, run: r, order: r.order})
 		r.nextCallAt = now.Add(stopRetryInterval)
 	}
 	for v.mayCall(now, kindCPULimit) {
@@ -108,7 +109,7 @@
 		}
 		ref := r.order.Run
 		r.limitPending = true
-		v.makeCall(v.ctx, call{kind: kindCPULimit, dueAt: v.unsentLimits[ref], sentAt: now, order: r.order, cpuLimitPercent: v.throttler.sentPercents[ref]})
+		v.makeCall(v.ctx, call{kind: kindCPULimit, dueAt: v.unsentLimits[ref], sentAt: now, run: r, order: r.order, cpuLimitPercent: v.throttler.sentPercents[ref]})
 		delete(v.unsentLimits, ref)
 	}
 	for v.mayCall(now, kindStart) {
@@ -120,7 +121,7 @@
 			r.startCtx, r.cancelStarts = context.WithCancel(v.ctx)
 		}
 		r.startsInProgress++
-		v.makeCall(r.startCtx, call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, deadline: v.startsPermittedUntil, order: r.order})
+		v.makeCall(r.startCtx, call{kind: kindStart, dueAt: r.nextCallAt, sentAt: now, deadline: v.startsPermittedUntil, run: r, order: r.order})
 		r.nextCallAt = now.Add(startRetryInterval)
 	}
 }
@@ -236,9 +237,15 @@
 	})
 }
 
+// applies reports whether the call's run is still kept; another of the same reference may
+// have taken its place.
+func (v *Supervisor) applies(c call) bool {
+	return v.runs[c.order.Run] == c.run && c.incarnation == v.state.Incarnation
+}
+
 func (v *Supervisor) handleStart(c call, answer pv.StartAnswer, err error) {
-	r, ok := v.runs[c.order.Run]
-	if !ok || c.incarnation != v.state.Incarnation {
+	r := c.run
+	if !v.applies(c) {
 		return
 	}
 	r.startsInProgress--
@@ -271,8 +278,8 @@
 }
 
 func (v *Supervisor) handleStop(c call, err error) {
-	r, ok := v.runs[c.order.Run]
-	if !ok || c.incarnation != v.state.Incarnation {
+	r := c.run
+	if !v.applies(c) {
 		return
 	}
 	v.logger.Info("supervisor: stop call ended", c.logFields(err)...)
--- a/supervisor/limits.go
+++ b/supervisor/limits.go
@@ -109,11 +109,10 @@
 }
 
 func (v *Supervisor) handleCPULimit(c call, err error) {
-	r, ok := v.runs[c.order.Run]
-	if !ok || c.incarnation != v.state.Incarnation {
+	if !v.applies(c) {
 		return
 	}
-	r.limitPending = false
+	c.run.limitPending = false
 	if err == nil {
 		return
 	}
