Agent: the result of a call belongs to the term that made it

A result was applied to the scheduler that the stream had when it arrived. Call ids restart in each scheduler, so after a term was lost and won again within the 5 s of a call, a result could match another call of the new term: a stop counted as confirmed by the result of some other call. A result of a former term is now dropped; the new one makes its own calls.

--- a/agent/stream.go
+++ b/agent/stream.go
@@ -232,10 +232,16 @@
 		a.expireRequests(now, s)
 		return
 	}
-	for _, call := range s.scheduler.Tick(now, s.holder.LogReachable(now)) {
+	core := s.scheduler
+	for _, call := range core.Tick(now, s.holder.LogReachable(now)) {
 		go func() {
 			r := a.callWorker(call)
-			a.eventLoop.Post(func() { s.scheduler.HandleResult(time.Now(), r) })
+			a.eventLoop.Post(func() {
+				// Call ids restart in each term, and a former term's scheduler has no say in a later one.
+				if s.scheduler == core {
+					core.HandleResult(time.Now(), r)
+				}
+			})
 		}()
 	}
 }
