Scheduler: a stop doesn't wait for the answer to its run's start

startOrStop made no call while a start of the attempt had no answer, so that a cancelled task's stop was sent up to CallTimeout (5 s) late and the worker could carry out the start meanwhile: the older path's form of starts-after-cancellation. A worker that has stopped an attempt refuses any later start of it, so the order in which the two arrive doesn't matter.

--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -89,15 +89,18 @@
 // startOrStop handles a recorded attempt that isn't in the worker's report. It
 // returns a start call, which later ticks repeat until a report shows the attempt;
 // starting a running attempt again is a no-op. If the attempt must stop, or the
-// worker refused its start, it returns a stop call instead, after which the worker
-// refuses every later start of the attempt.
+// worker refused its start, it returns a stop call instead, also while a start has no
+// answer: after a stop the worker refuses every later start of the attempt.
 func (c *Core) startOrStop(now time.Time, w *worker, t *recorder.Task, s *attemptState) []Call {
-	if s.stopCallID != 0 || s.startCallID != 0 {
+	if s.stopCallID != 0 {
 		return nil
 	}
 	if s.startRefused || s.stopReason != pv.NoReason {
 		return []Call{c.newStopCall(now, w, t.AttemptID(), s)}
 	}
+	if s.startCallID != 0 {
+		return nil
+	}
 	if !s.lastCommandAt.IsZero() && !w.reportRequestedAt.After(s.lastCommandAt) {
 		return nil // the report was requested before the start was acknowledged
 	}
