Supervisor: all state exists before the event loop starts

The maps of calls in progress were made after the listener had started. Orders of a leader that connects at once could have met a nil map.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -110,11 +110,11 @@
 		pollWake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 		runs: map[pv.RunRef]*run{}, unsentLimits: map[pv.RunRef]time.Time{}, absentRuns: map[pv.RunRef]bool{}, throttler: newThrottler(), deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
 	}
-	v.eventLoop = kernel.NewEventLoop(tickInterval, v.tick)
-	v.acceptor = messenger.NewLeaderAcceptor(s.Node, Role, d.Listener, d.Logger, v)
 	for kind := range v.callsInProgress {
 		v.callsInProgress[kind] = map[int64]time.Time{}
 	}
+	v.eventLoop = kernel.NewEventLoop(tickInterval, v.tick)
+	v.acceptor = messenger.NewLeaderAcceptor(s.Node, Role, d.Listener, d.Logger, v)
 	v.goroutines.Go(func() { v.pollWorker(ctx) })
 	return v
 }
@@ -198,8 +198,9 @@
 // Deregistrations returns the channel on which workers' deregistrations are sent.
 func (v *Supervisor) Deregistrations() <-chan pv.Deregistration { return v.deregistrations }
 
-// startIncarnation drops the orders, the lease, the end numbers and the throttler's
-// state of the worker's former incarnation.
+// startIncarnation drops the orders, the lease, the end numbers, the capacity and the
+// throttler's state of the worker's former incarnation. What it had started last, if it
+// stopped answering, is kept for the next leader.
 func (v *Supervisor) startIncarnation(id pv.WorkerID, incarnation int64) {
 	if v.deregistered && v.state.ID != id {
 		v.formerWorkers = append(v.formerWorkers, v.state)
