Tests: the job that uses grown capacity is no gang

Traced: the tasks of a gang end together on the platform, and one end finishes the gang; the stand-in workers end each task by itself. With one member that takes 0.1 s longer the test fails each time with the same message. The test's check that each task is done doesn't fit a gang on the stand-in.

--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -231,9 +231,9 @@
 	}
 }
 
-// Capacity that had grown again wasn't used: a gang that needs all of each worker runs
-// within a heartbeat, its run time and a second after the growth, in which the growth is
-// reported and the starts are stored and sent.
+// Capacity that had grown again wasn't used: a job with one task for each worker, of all its
+// capacity, is done within a heartbeat, its run time and a second after the growth, in which
+// the growth is reported and the starts are stored and sent.
 func TestGrownCapacityIsUsed(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -269,16 +269,16 @@
 				s.checkJobs(nil)
 				s.setCapacities(fullCapacity.Scale(1, 4))
 				time.Sleep(10 * time.Second)
-				s.submitUntilAccepted(pv.Job{ID: "whole", Payload: "p", Steps: []pv.Step{{Count: workerCount, Size: fullCapacity, Estimate: taskRunTime, Gang: true}}})
+				s.submitUntilAccepted(pv.Job{ID: "whole", Payload: "p", Steps: []pv.Step{{Count: workerCount, Size: fullCapacity, Estimate: taskRunTime, MaxPerWorker: 1}}})
 				time.Sleep(3 * time.Second)
 				if a := s.state(s.gateways[0], "whole"); a.State != pv.JobQueued {
-					t.Errorf("gang before the growth: got %q, want queued", a.State)
+					t.Errorf("job before the growth: got %q, want queued", a.State)
 				}
 				grownAt := time.Now()
 				s.setCapacities(fullCapacity)
 				s.awaitFinished("whole")
 				if took, want := time.Since(grownAt), heartbeatInterval+taskRunTime+time.Second; took > want {
-					t.Errorf("got the gang done %v after the growth, want within %v", took, want)
+					t.Errorf("got the job done %v after the growth, want within %v", took, want)
 				}
 				s.checkJobs(nil)
 			})
