--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -50,8 +50,8 @@
 }
 
 // steadyWorkers returns the workers that haven't crashed lately, or all if there are none. A
-// suspected task starts on these if it can, so that a worker that crashes by itself convicts
-// no task.
+// suspected task starts on these if it can, so that no job fails because of a worker that
+// crashes by itself.
 func steadyWorkers(now time.Time, workers []*worker) []*worker {
 	var out []*worker
 	for _, w := range workers {
@@ -159,8 +159,8 @@
 	}
 }
 
-// startCrashLimit returns how many crashes counted against a task convict it, the last one
-// being that of the given run.
+// startCrashLimit returns after how many crashes counted against a task its job fails, the
+// last one being that of the given run.
 func startCrashLimit(r *run) int {
 	first, last := r.task.crashAddress, r.worker.state.Address
 	switch {
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -5,7 +5,7 @@
 // with the task. It counts once the worker reports another incarnation, which proves that
 // the worker was restarted. A task with early losses starts alone: on a worker on which no
 // other attempt is new, which then gets no other starts until the attempt has survived. So
-// a task is hardly blamed more than once for another task's crash.
+// a crash that another task caused is hardly counted against it more than once.
 
 import (
 	"maps"
