Leader: a read of the inbox permits starts once its cancellations are stored

In a test on the assembled site a task was started up to 3.5 s after the acknowledged cancellation of its job; 3 s are allowed.

Cause: a leader withholds starts once its last read of the inbox is 1.8 s old, since it may have missed a cancellation. The read that ended this wait counted at once, while the stops of the jobs that it cancelled are sent only after their commit. Orders in between, such as renewals of leases, permitted supervisors to send starts that they still held.

Evidence: TestLateReadCancellationPermitsNoStart, two reads of the inbox without an answer.

Fix: a read that has cancelled a job, and those after it, count from the commit of the cancellation on. The stops and the permission are then in the same orders. A read without cancellations counts at once, as before.

--- /dev/null
+++ b/gateway/late_cancellation_test.go
@@ -0,0 +1,101 @@
+package gateway_test
+
+// This file defines tests of cancellations that reach a leader late, or that only a
+// former leader knew.
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/pipenet"
+	"persimmonvalve/leader"
+)
+
+// cancellationLimit is the time after the acknowledgement of a cancellation after which no
+// run of the job may be started.
+const cancellationLimit = 3 * time.Second
+
+// hangInboxReads makes the calls hang from now on that hangs reports, and ends the read of the
+// inbox in progress: a long poll that began before doesn't hang, and would return the next
+// record. The leader's last read begins and ends right before.
+func (s *siteHarness) hangInboxReads(hangs func(process string, topic pv.Topic, appends bool) bool) {
+	other := func() {
+		if err := s.store.ClientFor("other").Put(context.Background(), leader.InboxTopic, []pv.KeyedRecord{{Key: "other", Value: []byte("x")}}); err != nil {
+			s.t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	other()
+	s.mu.Lock()
+	s.storeCallHangs = hangs
+	s.mu.Unlock()
+	other()
+}
+
+// Starts were sent 3.5 s after an acknowledged cancellation: the read of the inbox that brought
+// it, after others had failed, permitted starts again before the job's stops were sent.
+func TestLateReadCancellationPermitsNoStart(t *testing.T) {
+	appendTimes := map[string]time.Duration{
+		"commits take 5 ms":   5 * time.Millisecond,
+		"commits take 50 ms":  50 * time.Millisecond,  // another region's leader, or one on a weak machine
+		"commits take 250 ms": 250 * time.Millisecond, // as long as a slow store's
+	}
+	for name, appendTime := range appendTimes {
+		t.Run(name, func(t *testing.T) {
+			late, rounds := 0, 0
+			var latest time.Duration
+			for offset := time.Duration(0); offset < 400*time.Millisecond; offset += 20 * time.Millisecond { // 400 ms lie between two renewals of a lease
+				pipenet.Bubble(t, func(t *testing.T) {
+					s := newSiteHarness(t, 1)
+					defer s.close()
+					s.waitForLeader()
+					time.Sleep(3 * time.Second)
+					job := pv.Job{ID: "job", Payload: "p", Steps: []pv.Step{{
+						Count: 8, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime,
+					}}}
+					s.mu.Lock()
+					s.startHangs = func(id pv.JobID) bool { return id == job.ID }
+					s.mu.Unlock()
+					s.submitUntilAccepted(job)
+					time.Sleep(300*time.Millisecond + offset)
+					linked := s.leaderIndex()
+					leading := s.gateways[linked]
+					cutOff := s.gateways[(linked+1)%gatewayCount]
+					for i, p := range s.gateways {
+						if i != linked {
+							s.network.Isolate(p.name, true)
+						}
+					}
+					readsHangUntil := time.Now().Add(2 * time.Second) // two reads, of 1.5 s each
+					s.hangInboxReads(func(process string, topic pv.Topic, appends bool) bool {
+						if process == leading.name && appends {
+							time.Sleep(appendTime)
+						}
+						return process == leading.name && topic == leader.InboxTopic && !appends && time.Now().Before(readsHangUntil)
+					})
+					if !s.cancelJob(cutOff, job.ID) {
+						t.Fatal("got the cancellation not confirmed, want it confirmed")
+					}
+					confirmedAt := time.Now()
+					time.Sleep(8 * time.Second)
+					if !leading.leader.Leading() {
+						t.Fatal("got another leader, want the same")
+					}
+					s.mu.Lock()
+					after := s.lastStart[job.ID].Sub(confirmedAt)
+					s.mu.Unlock()
+					rounds++
+					if after > cancellationLimit {
+						late++
+						latest = max(latest, after)
+					}
+				})
+			}
+			if late > 0 {
+				t.Errorf("got a start call up to %v after the confirmed cancellation in %d of %d rounds, want none after %v", latest, late, rounds, cancellationLimit)
+			}
+		})
+	}
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -64,15 +64,31 @@
 func (t *term) followInbox(ctx context.Context) {
 	follow(ctx, t.leader.deps.Store, InboxTopic, inboxReadWait, t.leader.deps.Clock, func(records []pv.KeyedRecord, _ bool, readStart time.Duration) {
 		t.post(func(now time.Time) {
-			t.applyInbox(ctx, now, records)
-			t.inboxReadStartedAt = readStart
+			cancelled := t.applyInbox(ctx, now, records)
+			t.noteInboxRead(readStart, cancelled)
 		})
 	})
 }
 
-// applyInbox submits and cancels the jobs of inbox records. It applies jobs first, since
-// a snapshot can hold the cancellation of a job before the job itself.
-func (t *term) applyInbox(ctx context.Context, now time.Time, records []pv.KeyedRecord) {
+// noteInboxRead records a completed read of the inbox. A read that has cancelled a job
+// counts from the commit of the cancellation on, and so do the reads that follow until
+// then: the job's stops are sent with that commit, and no orders may permit starts before.
+func (t *term) noteInboxRead(readStart time.Duration, cancelled bool) {
+	if !cancelled && t.uncommittedInboxReads == 0 {
+		t.inboxReadStartedAt = readStart
+		return
+	}
+	t.uncommittedInboxReads++
+	t.afterCommit = append(t.afterCommit, func() {
+		t.uncommittedInboxReads--
+		t.inboxReadStartedAt = readStart
+	})
+}
+
+// applyInbox submits and cancels the jobs of inbox records, and reports whether it has
+// cancelled one that is known. It applies jobs first, since a snapshot can hold the
+// cancellation of a job before the job itself.
+func (t *term) applyInbox(ctx context.Context, now time.Time, records []pv.KeyedRecord) (cancelled bool) {
 	var tombstones []pv.KeyedRecord
 	for _, r := range records {
 		id, ok := strings.CutPrefix(r.Key, inboxJobPrefix)
@@ -96,6 +112,7 @@
 			continue
 		}
 		if t.planner.Cancel(now, pv.JobID(id)) {
+			cancelled = true
 			tombstones = append(tombstones, pv.KeyedRecord{Key: r.Key})
 			delete(t.keptCancellations, r.Key)
 		} else if _, kept := t.keptCancellations[r.Key]; !kept {
@@ -106,6 +123,7 @@
 	if len(tombstones) > 0 {
 		t.afterCommit = append(t.afterCommit, func() { t.writeTombstones(ctx, tombstones) })
 	}
+	return cancelled
 }
 
 // expireCancellations removes the cancellations of jobs that never became known from the
