Leader: store the cancellation of an unknown job before it is answered

In a test on the assembled site a job ran although its cancellation had been answered with "unknown job" (410), which acknowledges it.

Cause: a leader kept such a cancellation in memory alone when it had come over a link. A submission that takes effect after it, because its record is appended late or its caller repeats it, was accepted and started by the next leader.

Fix: the leader writes the cancellation to the inbox and answers once it is stored. The inbox already keeps the cancellations of unknown jobs that gateways write, for later leaders and for as long as ended jobs are kept. If the write fails, the gateway gets no answer and writes the record itself, as for any cancellation without an answer.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -5,10 +5,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	pv "persimmonvalve"
+	"persimmonvalve/gateway"
 	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/leader"
 )
@@ -99,3 +103,58 @@
 		})
 	}
 }
+
+// A job ran although its cancellation had been answered with "unknown job": the submission took
+// effect after it, late or repeated, under the next leader, which didn't know of it.
+func TestCancellationOfUnknownJobOutlivesItsLeader(t *testing.T) {
+	submissions := map[string]func(t *testing.T, s *siteHarness, job pv.Job){
+		"a late record of the inbox": func(t *testing.T, s *siteHarness, job pv.Job) {
+			spec, err := json.Marshal(job)
+			if err != nil {
+				t.Fatal(err)
+			}
+			queue, err := json.Marshal(siteQueue)
+			if err != nil {
+				t.Fatal(err)
+			}
+			record, err := leader.InboxJobRecord(job.ID, spec, queue)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := s.store.ClientFor("late").Put(context.Background(), leader.InboxTopic, []pv.KeyedRecord{record}); err != nil {
+				t.Fatal(err)
+			}
+		},
+		"a repeated call": func(_ *testing.T, s *siteHarness, job pv.Job) { s.submitUntilAccepted(job) },
+	}
+	for name, submit := range submissions {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 3; seed++ {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					pipenet.Bubble(t, func(t *testing.T) {
+						s := newSiteHarness(t, seed)
+						defer s.close()
+						s.waitForLeader()
+						time.Sleep(3 * time.Second)
+						job := testJob(1, rand.New(rand.NewPCG(seed, 1)))
+						s.mu.Lock()
+						s.jobs[job.ID] = job
+						s.mu.Unlock()
+						ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+						defer cancel()
+						if got := s.gateways[s.leaderIndex()].gateway.Cancel(ctx, job.ID).Result; got != gateway.UnknownJob {
+							t.Fatalf("got %s, want %s", got, gateway.UnknownJob)
+						}
+						s.replaceGateway(s.leaderIndex())
+						time.Sleep(4 * time.Second)
+						submit(t, s, job)
+						time.Sleep(5 * time.Second)
+						if s.runAudit.JobStarted(job.ID) {
+							t.Errorf("got a start of the job 4 s after its cancellation, want none after %v", cancellationLimit)
+						}
+					})
+				})
+			}
+		})
+	}
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -6,7 +6,8 @@
 // committed. Applying a record twice has no effect, since the planner ignores a job
 // whose id it already has. The cancellation of a job that isn't known stays in the inbox
 // for as long as ended jobs are kept: the job's own record may be appended late, also
-// under the next leader, and must not start it then.
+// under the next leader, and must not start it then. The leader writes such a
+// cancellation itself if it came over a link.
 
 import (
 	"context"
@@ -126,6 +127,26 @@
 	return cancelled
 }
 
+// storeCancellation writes the cancellation of an unknown job to the inbox, where later
+// leaders read it too, and then calls stored. If the write fails, nobody is answered: the
+// gateway then writes the record itself.
+func (t *term) storeCancellation(id pv.JobID, stored func()) {
+	record := InboxCancelRecord(id)
+	if _, kept := t.keptCancellations[record.Key]; kept {
+		stored()
+		return
+	}
+	go func() {
+		callCtx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
+		defer cancel()
+		if err := t.leader.deps.Store.Put(callCtx, InboxTopic, []pv.KeyedRecord{record}); err != nil {
+			t.logger.Warn("leader: writing a cancellation to the inbox failed", zap.String("job", string(id)), zap.Int64("epoch", t.epoch), logfield.Error(err))
+			return
+		}
+		t.post(func(time.Time) { stored() })
+	}()
+}
+
 // expireCancellations removes the cancellations of jobs that never became known from the
 // inbox once ended jobs of their age aren't kept any more.
 func (t *term) expireCancellations(now time.Time) {
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -195,7 +195,7 @@
 			t.answerAfterBarrierRead(func() {
 				if !t.planner.Cancel(time.Now(), id) {
 					t.planner.CancelAhead(time.Now(), id)
-					replyVerdict(VerdictUnknownJob)()
+					t.storeCancellation(id, replyVerdict(VerdictUnknownJob))
 					return
 				}
 				t.afterCommit = append(t.afterCommit, replyVerdict(VerdictDone))
