Supervisor: a leader's first orders permit no starts

In a test on the assembled site a task was started up to 3.39 s after the acknowledged cancellation of its job; 3 s are allowed.

Cause: orders permit starts for 1.1 s from the last reading of the worker's clock that their leader had. A leader's first orders have no reading yet and counted from their arrival, however long the network had held them up. Nothing starts under them, since they bring no lease either, but the permission lasted beyond them: later orders that withhold starts bring the lease.

Evidence: TestDelayedFirstOrdersPermitNoStart, a new leader that can't read the inbox while its links delay what it sends.

Fix: orders without a lease bring no permission. Nothing could start under them, so no start is delayed.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -4,10 +4,14 @@
 // former leader knew.
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +19,7 @@
 	"persimmonvalve/gateway"
 	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/leader"
+	"persimmonvalve/messenger"
 )
 
 // cancellationLimit is the time after the acknowledgement of a cancellation after which no
@@ -158,3 +163,141 @@
 		})
 	}
 }
+
+// delayedConn delivers what is written to it after the site's linkDelay, in order.
+type delayedConn struct {
+	net.Conn
+	site   *siteHarness
+	writes chan delayedWrite
+	closed chan struct{}
+	once   sync.Once
+}
+
+type delayedWrite struct {
+	data  []byte
+	dueAt time.Time
+}
+
+// dialDelayed returns a dial function whose connections are delayedConns.
+func (s *siteHarness) dialDelayed(dial messenger.DialFunc) messenger.DialFunc {
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &delayedConn{Conn: conn, site: s, writes: make(chan delayedWrite, 1<<16), closed: make(chan struct{})}
+		go func() {
+			for {
+				select {
+				case w := <-c.writes:
+					time.Sleep(time.Until(w.dueAt))
+					if _, err := conn.Write(w.data); err != nil {
+						_ = c.Close()
+						return
+					}
+				case <-c.closed:
+					return
+				}
+			}
+		}()
+		return c, nil
+	}
+}
+
+func (c *delayedConn) Write(b []byte) (int, error) {
+	c.site.mu.Lock()
+	delay := c.site.linkDelay
+	c.site.mu.Unlock()
+	select {
+	case c.writes <- delayedWrite{bytes.Clone(b), time.Now().Add(delay)}:
+		return len(b), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *delayedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Starts were sent 3.4 s after an acknowledged cancellation that the leader couldn't read: its
+// first orders, held up by the network, permitted starts from their arrival on.
+func TestDelayedFirstOrdersPermitNoStart(t *testing.T) {
+	for _, linkDelay := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(linkDelay.String(), func(t *testing.T) {
+			late, rounds, opened := 0, 0, 0
+			var latest time.Duration
+			for offset := time.Duration(0); offset < 3*time.Second; offset += 150 * time.Millisecond { // a leader dials each 3 s
+				pipenet.Bubble(t, func(t *testing.T) {
+					s := newSiteHarness(t, 1)
+					defer s.close()
+					s.waitForLeader()
+					time.Sleep(3 * time.Second)
+					job := pv.Job{ID: "job", Payload: "p", Steps: []pv.Step{{
+						Count: 8, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime,
+					}}}
+					s.mu.Lock()
+					s.startHangs = func(id pv.JobID) bool { return id == job.ID }
+					s.mu.Unlock()
+					s.submitUntilAccepted(job)
+					time.Sleep(300 * time.Millisecond)
+					for _, p := range s.supervisors {
+						s.network.Isolate(p.name, true)
+					}
+					killed := s.gateways[s.leaderIndex()]
+					s.kill(killed)
+					time.Sleep(3 * time.Second)
+					leading := s.gateways[s.leaderIndex()]
+					if !leading.leader.Leading() {
+						t.Fatal("got no next leader, want one")
+					}
+					var cutOff *process
+					for _, p := range s.gateways {
+						if p != leading && p != killed {
+							s.network.Isolate(p.name, true)
+							cutOff = p
+						}
+					}
+					time.Sleep(10 * time.Millisecond)
+					if cutOff.gateway.Linked() {
+						t.Fatal("got a link to the cut-off gateway, want none")
+					}
+					s.mu.Lock()
+					s.linkDelay = linkDelay
+					s.mu.Unlock()
+					time.Sleep(offset)
+					for _, p := range s.supervisors {
+						s.network.Isolate(p.name, false)
+					}
+					s.hangInboxReads(func(process string, topic pv.Topic, appends bool) bool {
+						return process == leading.name && topic == leader.InboxTopic && !appends
+					})
+					if !s.cancelJob(cutOff, job.ID) {
+						t.Fatal("got the cancellation not confirmed, want it confirmed")
+					}
+					confirmedAt := time.Now()
+					time.Sleep(6 * time.Second)
+					if !leading.leader.Leading() {
+						t.Fatal("got another leader, want the same")
+					}
+					s.mu.Lock()
+					after := s.lastStart[job.ID].Sub(confirmedAt)
+					s.mu.Unlock()
+					rounds++
+					latest = max(latest, after)
+					if after > 0 {
+						opened++
+					}
+					if after > cancellationLimit {
+						late++
+					}
+				})
+			}
+			t.Logf("%d rounds, %d with a start after the cancellation, up to %v", rounds, opened, latest)
+			if late > 0 {
+				t.Errorf("got a start call up to %v after the confirmed cancellation in %d of %d rounds, want none after %v", latest, late, rounds, cancellationLimit)
+			}
+		})
+	}
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -72,6 +72,7 @@
 	// startHangs, if not nil, reports whether a job's starts get no answer and have no effect.
 	startHangs func(pv.JobID) bool
 	lastStart  map[pv.JobID]time.Time // when the last start call of a job began
+	linkDelay  time.Duration          // of what leaders write to their links
 }
 
 func newSiteHarness(t *testing.T, seed uint64) *siteHarness {
@@ -160,7 +161,7 @@
 	g := gateway.New(name, gateway.Dependencies{Store: store, Listener: l, Logger: logger, Registry: prometheus.NewRegistry()})
 	members := leader.NewDirectory(ctx, store, leader.Member{Node: name, Role: gateway.Role, Address: l.Address(), IncarnationID: incarnationID, Candidate: true}, g.LeaderStatus, nil, logger)
 	lead := leader.New(leader.Settings{Node: name, IncarnationID: incarnationID, Planner: planner.DefaultSettings()}, leader.Dependencies{
-		Store: store, Directory: members, LeaderStatus: g.LeaderStatus, Dial: s.network.Dialer(name),
+		Store: store, Directory: members, LeaderStatus: g.LeaderStatus, Dial: s.dialDelayed(s.network.Dialer(name)),
 		Clock: func() time.Duration { return time.Since(startedAt) }, Logger: logger, Registry: prometheus.NewRegistry(),
 	})
 	lead.SetQueues([]pv.Queue{siteQueue})
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -66,7 +66,7 @@
 		until = max(until, v.lease.End)
 	}
 	v.lease, v.leaseIncarnation = pv.WorkerLease{FencingToken: o.Token, End: until}, o.Life
-	if !o.StartsWithheld {
+	if !o.StartsWithheld && o.UntilMs > 0 {
 		v.permitStarts(now, time.Duration(o.ClockMs)*time.Millisecond)
 	}
 	if o.Acknowledged > v.acknowledgedEnd || o.Whole {
@@ -115,7 +115,8 @@
 }
 
 // permitStarts permits starts for startPermission, counted from when the worker's clock
-// read the given time, or from now if that isn't known.
+// read the given time, or from now if that isn't known. The first orders of a leader, which
+// has no reading yet, bring neither a lease nor a permission.
 func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
 	from := now
 	if clock > 0 && !v.polledAt.IsZero() {
--- /dev/null
+++ b/supervisor/orders_age_test.go
@@ -0,0 +1,73 @@
+package supervisor
+
+// This file defines tests of the age of orders: what the network or the worker delays must
+// not permit starts for longer.
+
+import (
+	"testing"
+	"time"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/pipenet"
+	"persimmonvalve/internal/wire"
+	"persimmonvalve/messenger"
+)
+
+// delayLink delays what the leader writes to its link from now on.
+func (h *callHarness) delayLink(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stalledTill = time.Now().Add(d)
+}
+
+// checkOrdersAge reports each start call later than maxOrdersAge after the orders were sent.
+func (h *callHarness) checkOrdersAge(orderedAt time.Time) {
+	h.t.Helper()
+	calls := h.worker.callsOf(startCall)
+	for _, c := range calls {
+		if age := c.beganAt.Sub(orderedAt); age > maxOrdersAge {
+			h.t.Errorf("got a start of %v %v after the last orders were sent, want none after %v", c.run, age, maxOrdersAge)
+		}
+	}
+}
+
+// Starts were sent under orders of any age: the first orders of a leader, which has no reading of
+// the worker's clock yet, counted from their arrival, however long the network held them up.
+func TestNoStartOnDelayedFirstOrders(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		h.worker.setUnanswered(unansweredStarts("j"))
+		h.renew(time.Second)
+		h.connect()
+		send := func(full bool, starts []pv.RunOrder, leaseEnd, clock time.Duration, startsWithheld bool) {
+			orders := messenger.EncodeOrders("w", 1, pv.WorkerLease{FencingToken: h.epoch, End: leaseEnd}, 0, full, starts, nil)
+			orders.ClockMs, orders.StartsWithheld = clock.Milliseconds(), startsWithheld
+			h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}})
+		}
+		const delay = 1500 * time.Millisecond
+		h.delayLink(delay)
+		starts := startsOf(testRuns("j", 2))
+		for i := range starts {
+			starts[i].FirstSend = false
+		}
+		orderedAt := time.Now()
+		send(true, starts, 0, 0, false)
+		time.Sleep(delay)
+		for before := h.lastClock(); h.lastClock() == before; { // until a poll under the new token
+			time.Sleep(time.Millisecond)
+		}
+		send(false, nil, h.newestLeaseEnd(), h.lastClock(), true) // the leader may not start runs any more
+		time.Sleep(50 * time.Millisecond)
+		h.link.Close()
+		time.Sleep(8 * time.Second)
+		h.checkOrdersAge(orderedAt)
+	})
+}
+
+// lastClock returns the last reported reading of the worker's clock.
+func (h *callHarness) lastClock() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock
+}
