Supervisor: a late poll result doesn't make orders look younger

In a test of the supervisor starts were sent 1.6 s after their orders, which permit them for 1.1 s (1.2 s with the interval of polls).

Cause: the age of orders is the time since the reading of the worker's clock that they name, and the supervisor derived that time from the arrival of the last poll result. A result that arrives late makes all earlier readings seem later, by its delay of up to a second. With orders that are delayed too, a start could be sent up to 4.4 s after the cancellation of its job.

Evidence: TestNoStartOnDelayedOrdersBesideLatePoll, orders delayed by 1.6 s and a poll result by 0.6 or 0.95 s. Before: two starts 1.6 s after the orders; without a late result none.

Fix: the supervisor keeps the readings of the last 4 s and derives times from the one that was delayed the least.

Trial, not kept: only the least delayed reading since the start, with an allowance for drift.

--- a/supervisor/calls_test.go
+++ b/supervisor/calls_test.go
@@ -62,15 +62,16 @@
 type callWorker struct {
 	startedAt time.Time
 
-	mu          sync.Mutex
-	incarnation int64
-	unanswered  func(kind string, r pv.RunRef, earlier int) bool // earlier is the number of earlier calls of this kind for the run
-	held        map[pv.RunRef]chan struct{}                      // runs whose start calls return once the channel is closed, also if their context has ended
-	running     map[pv.RunRef]bool
-	serving     map[pv.RunRef]bool // runs with a latency target
-	refused     map[pv.RunRef]bool // stopped
-	calls       []*workerCall
-	polls       []workerCall
+	mu              sync.Mutex
+	incarnation     int64
+	pollAnswerDelay time.Duration                                    // from a poll's reading of the clock until its answer arrives
+	unanswered      func(kind string, r pv.RunRef, earlier int) bool // earlier is the number of earlier calls of this kind for the run
+	held            map[pv.RunRef]chan struct{}                      // runs whose start calls return once the channel is closed, also if their context has ended
+	running         map[pv.RunRef]bool
+	serving         map[pv.RunRef]bool // runs with a latency target
+	refused         map[pv.RunRef]bool // stopped
+	calls           []*workerCall
+	polls           []workerCall
 }
 
 func (w *callWorker) Poll(ctx context.Context, _ pv.WorkerID, l pv.WorkerLease, _ int64, wait time.Duration) (pv.WorkerRuns, error) {
@@ -82,9 +83,20 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	out := pv.WorkerRuns{Incarnation: w.incarnation, Clock: time.Since(w.startedAt)}
+	if delay := w.pollAnswerDelay; delay > 0 {
+		w.mu.Unlock()
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+		}
+		w.mu.Lock()
+		if ctx.Err() != nil {
+			return pv.WorkerRuns{}, ctx.Err()
+		}
+	}
 	p.endedAt = time.Now()
 	w.polls = append(w.polls, p)
-	out := pv.WorkerRuns{Incarnation: w.incarnation, Clock: time.Since(w.startedAt)}
 	for r := range w.running {
 		s := pv.RunStatus{Run: r}
 		if w.serving[r] {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -119,11 +119,8 @@
 // has no reading yet, bring neither a lease nor a permission.
 func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
 	from := now
-	if clock > 0 && !v.polledAt.IsZero() {
-		from = v.polledAt.Add(clock - v.polledClock)
-	}
-	if from.After(now) {
-		from = now
+	if at, ok := v.clockReadings.timeOf(clock); ok && clock > 0 && at.Before(now) {
+		from = at
 	}
 	if until := from.Add(startPermission); until.After(v.startsPermittedUntil) {
 		v.startsPermittedUntil = until
--- a/supervisor/orders_age_test.go
+++ b/supervisor/orders_age_test.go
@@ -71,3 +71,32 @@
 	defer h.mu.Unlock()
 	return h.clock
 }
+
+// Starts were sent under orders older than permitted: an answer to a poll that arrived late made
+// orders that were delayed meanwhile look younger, by its delay.
+func TestNoStartOnDelayedOrdersBesideLatePoll(t *testing.T) {
+	for _, pollDelay := range []time.Duration{0, 600 * time.Millisecond, 950 * time.Millisecond} {
+		t.Run(pollDelay.String(), func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer h.stop()
+				h.worker.setUnanswered(unansweredStarts("j"))
+				h.renew(2 * time.Second)
+				for before := h.lastClock(); h.lastClock() == before; { // the leader has just received a reading of the clock
+					time.Sleep(time.Millisecond)
+				}
+				h.worker.mu.Lock()
+				h.worker.pollAnswerDelay = pollDelay
+				h.worker.mu.Unlock()
+				const delay = 1600 * time.Millisecond
+				h.delayLink(delay)
+				orderedAt := time.Now()
+				h.send(false, startsOf(testRuns("j", 2)))
+				time.Sleep(delay + 50*time.Millisecond)
+				h.link.Close()
+				time.Sleep(8 * time.Second)
+				h.checkOrdersAge(orderedAt)
+			})
+		})
+	}
+}
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -142,7 +142,8 @@
 		return false
 	}
 	now := time.Now()
-	v.polledAt, v.polledClock = now, runs.Clock
+	v.polledAt = now
+	v.clockReadings.add(now, runs.Clock)
 	if q.number > v.unverifiedSince {
 		v.unverifiedSince, v.heldHeartbeat = 0, nil
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -95,7 +95,7 @@
 	pollNumber           int64
 	unverifiedSince      int64         // pollNumber when a call last failed; 0 once a later poll has succeeded
 	polledAt             time.Time     // when this incarnation last answered a poll
-	polledClock          time.Duration // the reading of its clock then
+	clockReadings        clockReadings // of this incarnation
 	brokenAt             time.Time     // when the worker's connections broke, if the last poll failed for that
 	pollFailing          bool
 	throttler            throttler
@@ -223,7 +223,7 @@
 	clear(v.unsentLimits)
 	clear(v.absentRuns)
 	v.lease = pv.WorkerLease{} // its end is a reading of the former incarnation's clock
-	v.reportedEnd, v.acknowledgedEnd, v.polledAt = 0, 0, time.Time{}
+	v.reportedEnd, v.acknowledgedEnd, v.polledAt, v.clockReadings = 0, 0, time.Time{}, nil
 	v.throttler = newThrottler()
 }
 
