Leader: reads of the inbox wait for the commit of cancellations only

Jobs waited for their start although the leader read the inbox and committed.

With commits of 1.1 s and more, reads never counted at once again.

Evidence: TestCancellationFromInboxHoldsUpNoStarts, commits of 1.1 s, one cancellation from the inbox.

Fix: later reads join the last read with a cancellation and count with its commit.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -301,3 +301,58 @@
 		})
 	}
 }
+
+// Jobs wait for their start although the leader reads the inbox and commits: after one
+// cancellation from the inbox, each later read counts from a commit that began after it.
+func TestCancellationFromInboxHoldsUpNoStarts(t *testing.T) {
+	const (
+		appendTime = 1100 * time.Millisecond // of a store under load, to the jobs topic
+		startLimit = 2*appendTime + time.Second
+	)
+	for _, cancellation := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cancellation %t", cancellation), func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				s := newSiteHarness(t, 1)
+				defer s.close()
+				s.waitForLeader()
+				time.Sleep(3 * time.Second)
+				leading := s.gateways[s.leaderIndex()]
+				submit := func(id pv.JobID) time.Time {
+					submittedAt := time.Now()
+					job := pv.Job{ID: id, Payload: "p", Steps: []pv.Step{{Count: 1, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime}}}
+					go s.submit(leading, job)
+					time.Sleep(startLimit)
+					return submittedAt
+				}
+				submit("ended")
+				s.mu.Lock()
+				s.storeCallHangs = func(_ string, topic pv.Topic, appends bool) bool {
+					if appends && topic != leader.InboxTopic {
+						time.Sleep(appendTime)
+					}
+					return false
+				}
+				s.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				if cancellation {
+					if err := s.store.ClientFor("other").Put(context.Background(), leader.InboxTopic, []pv.KeyedRecord{leader.InboxCancelRecord("ended")}); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(2 * time.Second)
+				}
+				for i := range 10 {
+					id := pv.JobID(fmt.Sprintf("job-%d", i))
+					submittedAt := submit(id)
+					s.mu.Lock()
+					startedAt := s.lastStart[id]
+					s.mu.Unlock()
+					if startedAt.IsZero() {
+						t.Errorf("job %s: got no start within %v, want one", id, startLimit)
+					} else {
+						t.Logf("job %s: started after %v", id, startedAt.Sub(submittedAt))
+					}
+				}
+			})
+		})
+	}
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -72,18 +72,25 @@
 }
 
 // noteInboxRead records a completed read of the inbox. A read that has cancelled a job
-// counts from the commit of the cancellation on, and so do the reads that follow until
-// then: the job's stops are sent with that commit, and no orders may permit starts before.
+// counts once the cancellation is stored: the job's stops are sent then, and no orders may
+// permit starts before. Later reads wait for the same commit, unless they have cancelled
+// jobs themselves.
 func (t *term) noteInboxRead(readStart time.Duration, cancelled bool) {
-	if !cancelled && t.uncommittedInboxReads == 0 {
-		t.inboxReadStartedAt = readStart
-		return
+	if cancelled {
+		latest := new(time.Duration)
+		t.uncommittedInboxRead = latest
+		t.afterCommit = append(t.afterCommit, func() {
+			t.inboxReadStartedAt = *latest
+			if t.uncommittedInboxRead == latest {
+				t.uncommittedInboxRead = nil
+			}
+		})
 	}
-	t.uncommittedInboxReads++
-	t.afterCommit = append(t.afterCommit, func() {
-		t.uncommittedInboxReads--
+	if t.uncommittedInboxRead != nil {
+		*t.uncommittedInboxRead = readStart
+	} else {
 		t.inboxReadStartedAt = readStart
-	})
+	}
 }
 
 // applyInbox submits and cancels the jobs of inbox records, and reports whether it has
--- a/leader/term.go
+++ b/leader/term.go
@@ -47,9 +47,9 @@
 	peers       map[string]*peer // by node
 	confirmedAt time.Duration    // Dependencies.Clock at the start of the last confirmed append
 
-	inboxReadStartedAt    time.Duration        // Dependencies.Clock at the start of the last read of the inbox whose cancellations are stored
-	uncommittedInboxReads int                  // later reads, which count once a commit has stored their cancellations
-	keptCancellations     map[string]time.Time // keys of the inbox's cancellations of unknown jobs, with the time since when they are kept
+	inboxReadStartedAt   time.Duration        // Dependencies.Clock at the start of the last read of the inbox whose cancellations are stored
+	uncommittedInboxRead *time.Duration       // the same of the last read that waits for the next commit of cancellations; nil if none does
+	keptCancellations    map[string]time.Time // keys of the inbox's cancellations of unknown jobs, with the time since when they are kept
 
 	committing      bool
 	commitStartedAt time.Time // of the last commit
