Supervisor: the age of orders counts from the reading that they name

Runs were started up to 2.45 s after their orders beside a worker that answers polls unevenly.

One poll that is answered at once made the orders that name later readings, answered slowly, look older than they were, so that the permission to start ended early.

Evidence: TestUnevenPollDelaysHoldUpNoStarts, one poll of three answered at once, the others after 0.8 and 0.95 s. The tests of orders that are too old still pass.

Fix: the supervisor looks up when it received the very reading that the orders name. The leader had it before it sent them, so they can't be older than that, and no other reading's delay counts. No time is derived from the worker's clock any more.

--- a/supervisor/clock.go
+++ b/supervisor/clock.go
@@ -1,41 +1,40 @@
 package supervisor
 
-// This file defines how the supervisor's time is derived from readings of the worker's
-// clock, which arrive with poll results.
+// This file defines how the age of orders is determined. Orders name the reading of the
+// worker's clock that their leader had received last, so they were sent after the
+// supervisor received that reading.
 
 import (
 	"slices"
 	"time"
 )
 
-// clockReadingWindow is how long a reading is used. The worker's clock runs up to 2% slow,
-// so that a time derived from an older reading would be more than 80 ms too early.
-const clockReadingWindow = 4 * time.Second
+// clockReadingRetention is how long readings are kept; orders that name an older one permit
+// nothing any more.
+const clockReadingRetention = 4 * time.Second
 
-// clockReadings are the readings of the worker's clock in the last clockReadingWindow. The
-// least delayed of them counts: one that arrives late must not make an earlier value of
-// the clock seem later than it was.
+// clockReadings are the readings of the worker's clock that arrived with poll results in the
+// last clockReadingRetention, in order.
 type clockReadings []clockReading
 
 type clockReading struct {
-	receivedAt time.Time
 	clock      time.Duration
+	receivedAt time.Time
 }
 
 // add adds a reading that has just arrived.
 func (r *clockReadings) add(now time.Time, clock time.Duration) {
-	*r = slices.DeleteFunc(*r, func(o clockReading) bool { return now.Sub(o.receivedAt) > clockReadingWindow })
-	*r = append(*r, clockReading{now, clock})
+	*r = slices.DeleteFunc(*r, func(o clockReading) bool { return now.Sub(o.receivedAt) > clockReadingRetention })
+	*r = append(*r, clockReading{clock.Truncate(time.Millisecond), now}) // orders name it in milliseconds
 }
 
-// timeOf returns the time at which the worker's clock read the given value. It returns
-// false if there is no reading.
-func (r clockReadings) timeOf(clock time.Duration) (time.Time, bool) {
-	var first time.Time
-	for _, o := range r {
-		if at := o.receivedAt.Add(clock - o.clock); first.IsZero() || at.Before(first) {
-			first = at
+// receivedAt returns when the newest reading that isn't later than the given one was
+// received. It returns false if none is kept.
+func (r clockReadings) receivedAt(clock time.Duration) (time.Time, bool) {
+	for _, o := range slices.Backward(r) {
+		if o.clock <= clock {
+			return o.receivedAt, true
 		}
 	}
-	return first, len(r) > 0
+	return time.Time{}, false
 }
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -66,7 +66,7 @@
 		until = max(until, v.lease.End)
 	}
 	v.lease, v.leaseIncarnation = pv.WorkerLease{FencingToken: o.Token, End: until}, o.Life
-	if !o.StartsWithheld && o.UntilMs > 0 {
+	if !o.StartsWithheld && o.UntilMs > 0 { // the first orders of a leader bring neither a reading nor a lease
 		v.permitStarts(now, time.Duration(o.ClockMs)*time.Millisecond)
 	}
 	if o.Acknowledged > v.acknowledgedEnd || o.Whole {
@@ -114,13 +114,12 @@
 	v.throttler.forget(ref)
 }
 
-// permitStarts permits starts for startPermission, counted from when the worker's clock
-// read the given time, or from now if that isn't known. The first orders of a leader, which
-// has no reading yet, bring neither a lease nor a permission.
+// permitStarts permits starts for startPermission, counted from when the supervisor received
+// the reading of the worker's clock that the orders name, or from now if it isn't known.
 func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
-	from := now
-	if at, ok := v.clockReadings.timeOf(clock); ok && clock > 0 && at.Before(now) {
-		from = at
+	from, ok := v.clockReadings.receivedAt(clock)
+	if !ok {
+		from = now
 	}
 	if until := from.Add(startPermission); until.After(v.startsPermittedUntil) {
 		v.startsPermittedUntil = until
--- a/supervisor/orders_age_test.go
+++ b/supervisor/orders_age_test.go
@@ -100,3 +100,57 @@
 		})
 	}
 }
+
+// One quick answer to a poll makes the orders that name later, slowly answered polls look older
+// than they can be: runs are started late although each poll is answered.
+func TestUnevenPollDelaysHoldUpNoStarts(t *testing.T) {
+	for _, slow := range []time.Duration{0, 400 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond, 950 * time.Millisecond} {
+		t.Run(slow.String(), func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer time.Sleep(time.Second) // for the goroutine to end
+				defer h.stop()
+				go func() { // one poll of three is answered at once
+					for h.supervisor.ctx.Err() == nil {
+						h.worker.mu.Lock()
+						h.worker.pollAnswerDelay = slow
+						if len(h.worker.polls)%3 == 0 {
+							h.worker.pollAnswerDelay = 0
+						}
+						h.worker.mu.Unlock()
+						time.Sleep(time.Millisecond)
+					}
+				}()
+				h.renew(5 * time.Second)
+				orderedAt := map[pv.RunRef]time.Time{}
+				runs := testRuns("k", 60)
+				next := 0
+				for i := range 60 * 20 { // each 50 ms
+					switch {
+					case i%20 == 7:
+						starts := startsOf(runs[next : next+1])
+						starts[0].FirstSend = false
+						orderedAt[runs[next]] = time.Now()
+						next++
+						h.send(false, starts)
+					case i%8 == 0:
+						h.send(false, nil)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				h.renew(10 * time.Second)
+				var latest, sum time.Duration
+				for _, c := range h.worker.callsOf(startCall) {
+					if at, ok := orderedAt[c.run]; ok {
+						latest, sum = max(latest, c.beganAt.Sub(at)), sum+c.beganAt.Sub(at)
+						delete(orderedAt, c.run)
+					}
+				}
+				t.Logf("mean %v, latest %v, never %d", sum/60, latest, len(orderedAt))
+				if limit := time.Second; latest > limit || len(orderedAt) > 0 {
+					t.Errorf("got a start up to %v after its order and %d runs not started, want each started within %v", latest, len(orderedAt), limit)
+				}
+			})
+		})
+	}
+}
