Supervisor: orders that name an unknown reading permit no starts

In a test on the assembled site a task was started up to 3.4 s after the acknowledged cancellation of its job; 3 s are allowed.

Cause: a restarted supervisor has no reading of the worker's clock yet. The full orders of the leader that it had before name one and bring a lease, and counted from their arrival, however long the network had held them up. The same held for orders that name a reading of more than 4 s ago.

Evidence: TestRestartedSupervisorStartsNoCancelledRun, a leader that can't read the inbox while its links delay what it sends.

Fix: such orders bring no permission. The supervisor polls at once, and the next orders name a reading that it knows. Only orders that name no reading, of leaders of a former version, still count from their arrival.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -356,3 +356,68 @@
 		})
 	}
 }
+
+// A run starts more than 3 s after an acknowledged cancellation that the leader couldn't read:
+// its supervisor was restarted and counts orders held up by the network from their arrival.
+func TestRestartedSupervisorStartsNoCancelledRun(t *testing.T) {
+	for _, linkDelay := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(linkDelay.String(), func(t *testing.T) {
+			late, rounds := 0, 0
+			var latest time.Duration
+			for offset := time.Duration(0); offset < 1500*time.Millisecond; offset += 50 * time.Millisecond {
+				pipenet.Bubble(t, func(t *testing.T) {
+					s := newSiteHarness(t, 1)
+					defer s.close()
+					s.waitForLeader()
+					time.Sleep(3 * time.Second)
+					job := pv.Job{ID: "job", Payload: "p", Steps: []pv.Step{{
+						Count: 8, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime,
+					}}}
+					s.mu.Lock()
+					s.startHangs = func(id pv.JobID) bool { return id == job.ID }
+					s.mu.Unlock()
+					s.submitUntilAccepted(job)
+					time.Sleep(300 * time.Millisecond)
+					leading := s.gateways[s.leaderIndex()]
+					var cutOff *process
+					for _, p := range s.gateways {
+						if p != leading {
+							s.network.Isolate(p.name, true)
+							cutOff = p
+						}
+					}
+					s.mu.Lock()
+					s.linkDelay = linkDelay
+					s.mu.Unlock()
+					s.hangInboxReads(func(process string, topic pv.Topic, appends bool) bool {
+						return process == leading.name && topic == leader.InboxTopic && !appends
+					})
+					if !s.cancelJob(cutOff, job.ID) {
+						t.Fatal("got the cancellation not confirmed, want it confirmed")
+					}
+					confirmedAt := time.Now()
+					time.Sleep(offset)
+					for i := range s.supervisors {
+						s.replaceSupervisor(i)
+					}
+					time.Sleep(7 * time.Second)
+					if !leading.leader.Leading() {
+						t.Fatal("got another leader, want the same")
+					}
+					s.mu.Lock()
+					after := s.lastStart[job.ID].Sub(confirmedAt)
+					s.mu.Unlock()
+					rounds++
+					latest = max(latest, after)
+					if after > cancellationLimit {
+						late++
+					}
+				})
+			}
+			t.Logf("%d rounds, starts up to %v after the cancellation", rounds, latest)
+			if late > 0 {
+				t.Errorf("got a start call up to %v after the confirmed cancellation in %d of %d rounds, want none after %v", latest, late, rounds, cancellationLimit)
+			}
+		})
+	}
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -115,13 +115,15 @@
 }
 
 // permitStarts permits starts for startPermission, counted from when the supervisor received
-// the reading of the worker's clock that the orders name, or from now if it isn't known.
+// the reading of the worker's clock that the orders name. A reading that isn't known was
+// received too long ago or by a former process; the next orders name one that is. Orders of
+// a former version name none and count from their arrival.
 func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
-	from, ok := v.clockReadings.receivedAt(clock)
-	if !ok {
-		from = now
+	from, ok := now, true
+	if clock > 0 {
+		from, ok = v.clockReadings.receivedAt(clock)
 	}
-	if until := from.Add(startPermission); until.After(v.startsPermittedUntil) {
+	if until := from.Add(startPermission); ok && until.After(v.startsPermittedUntil) {
 		v.startsPermittedUntil = until
 	}
 }
--- a/supervisor/orders_age_test.go
+++ b/supervisor/orders_age_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
 	pv "persimmonvalve"
 	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/internal/wire"
@@ -154,3 +157,39 @@
 		})
 	}
 }
+
+// A restarted supervisor has no reading of the worker's clock and counts its leader's orders,
+// which bring a lease, from their arrival, however long the network has held them up.
+func TestNoStartOnDelayedOrdersAfterRestart(t *testing.T) {
+	for _, delay := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer func() { h.stop() }()
+				h.worker.setUnanswered(unansweredStarts("j"))
+				h.renew(2 * time.Second)
+				former := h.supervisor
+				h.link.Close()
+				go func() { _ = former.Stop(t.Context()) }()
+				h.listener = h.network.Listen("restarted agent")
+				h.supervisor = New(Settings{Node: "agent"}, Dependencies{Worker: h.worker, Listener: h.listener, Logger: zap.NewNop(), Registry: prometheus.NewRegistry()})
+				h.epoch-- // the same leader
+				h.connect()
+				starts := startsOf(testRuns("j", 2))
+				for i := range starts {
+					starts[i].FirstSend = false
+				}
+				orders := messenger.EncodeOrders("w", 1, pv.WorkerLease{FencingToken: h.epoch, End: h.newestLeaseEnd()}, 0, true, starts, nil)
+				orders.ClockMs = h.lastClock().Milliseconds()
+				h.delayLink(delay)
+				orderedAt := time.Now()
+				h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}})
+				time.Sleep(delay + 50*time.Millisecond)
+				h.heartbeat(1, false)
+				h.link.Close()
+				time.Sleep(8 * time.Second)
+				h.checkOrdersAge(orderedAt)
+			})
+		})
+	}
+}
