Leader: a repeated cancellation of an unknown job is kept from then on

What callers saw: nothing; found in review. A job ran 4 s after its cancellation was answered with "unknown job": the cancellation was a repeat, and the time for which cancellations of unknown jobs are kept counted from the first one.

Evidence: TestRepeatedCancellationOfUnknownJobIsKept, a repeat one second before that time ends. Before: the job is started after its late submission. After: it isn't.

Fix: each cancellation that is answered starts the time anew, in the planner and for the record in the inbox.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -20,6 +20,7 @@
 	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/leader"
 	"persimmonvalve/messenger"
+	"persimmonvalve/planner"
 )
 
 // cancellationLimit is the time after the acknowledgement of a cancellation after which no
@@ -421,3 +422,31 @@
 		})
 	}
 }
+
+// A job runs 4 s after its cancellation was answered with "unknown job": the cancellation was a
+// repeat, and counted as kept since the first one, whose time was nearly over.
+func TestRepeatedCancellationOfUnknownJobIsKept(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		s := newSiteHarness(t, 1)
+		defer s.close()
+		s.waitForLeader()
+		time.Sleep(3 * time.Second)
+		job := testJob(1, rand.New(rand.NewPCG(1, 1)))
+		cancelUnknown := func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+			defer cancel()
+			if got := s.gateways[0].gateway.Cancel(ctx, job.ID).Result; got != gateway.UnknownJob {
+				t.Fatalf("got %s, want %s", got, gateway.UnknownJob)
+			}
+		}
+		cancelUnknown()
+		time.Sleep(planner.DefaultSettings().EndedRetention - time.Second)
+		cancelUnknown()
+		time.Sleep(4 * time.Second)
+		s.submitUntilAccepted(job)
+		time.Sleep(5 * time.Second)
+		if s.runAudit.JobStarted(job.ID) {
+			t.Errorf("got a start of the job 4 s after its cancellation, want none after %v", cancellationLimit)
+		}
+	})
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -140,6 +140,7 @@
 func (t *term) storeCancellation(id pv.JobID, stored func()) {
 	record := InboxCancelRecord(id)
 	if _, kept := t.keptCancellations[record.Key]; kept {
+		t.keptCancellations[record.Key] = time.Now()
 		stored()
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -105,11 +105,9 @@
 
 // CancelAhead records the cancellation of a job that isn't known yet: its submission, to
 // which nobody had an answer, may still take effect. The job is then accepted as
-// cancelled. The cancellation is kept for EndedRetention.
+// cancelled. The cancellation is kept for EndedRetention from the last call on.
 func (p *Planner) CancelAhead(now time.Time, id pv.JobID) {
-	if _, ok := p.cancelledAhead[id]; !ok {
-		p.cancelledAhead[id] = now
-	}
+	p.cancelledAhead[id] = now
 }
 
 // Cancel ends a job at its submitter's request and reports whether the job is known.
