Leader: questions about unknown jobs read only what is new in the inbox

Each question about an unknown job made the leader read the whole inbox.

Evidence: TestUnknownJobsCostFewReads, one question after 1,200 such cancellations. After: 4 or fewer.

Fix: the leader follows the inbox anyway and knows up to which offset it has applied it. A question reads the records from there on; the whole inbox is read only before the first read has been applied and when the store has dropped its history. What the read guarantees is the same: it contains all records that were appended before the question.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -450,3 +451,44 @@
 		}
 	})
 }
+
+// Cancellations of unknown jobs made each later question about an unknown job more expensive: the
+// leader read all of them again.
+func TestUnknownJobsCostFewReads(t *testing.T) {
+	const (
+		cancellations = 1200
+		maxReads      = 4 // for one question, with those that follow the inbox
+	)
+	pipenet.Bubble(t, func(t *testing.T) {
+		s := newSiteHarness(t, 1)
+		defer s.close()
+		s.waitForLeader()
+		time.Sleep(3 * time.Second)
+		leading := s.gateways[s.leaderIndex()]
+		var reads atomic.Int64
+		s.mu.Lock()
+		s.storeCallHangs = func(process string, topic pv.Topic, appends bool) bool {
+			if process == leading.name && topic == leader.InboxTopic && !appends {
+				reads.Add(1)
+			}
+			return false
+		}
+		s.mu.Unlock()
+		cancelUnknown := func(id pv.JobID) {
+			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+			defer cancel()
+			if got := leading.gateway.Cancel(ctx, id).Result; got != gateway.UnknownJob {
+				t.Fatalf("got %s, want %s", got, gateway.UnknownJob)
+			}
+		}
+		for i := range cancellations {
+			cancelUnknown(pv.JobID(fmt.Sprintf("%016x", i)))
+		}
+		time.Sleep(time.Second)
+		before := reads.Load()
+		cancelUnknown("last")
+		if got := reads.Load() - before; got > maxReads {
+			t.Errorf("got %d reads of the inbox for one question after %d cancellations, want %d or fewer", got, cancellations, maxReads)
+		}
+	})
+}
--- a/leader/directory.go
+++ b/leader/directory.go
@@ -194,13 +194,13 @@
 // invalid with the key of each record that names no member, until the context ends.
 func (d *Directory) Follow(ctx context.Context, clock func() time.Duration, invalid func(key string), changed func([]Member)) {
 	members := map[string]Member{}
-	follow(ctx, d.store, membersTopic, membersReadWait, clock, func(records []pv.KeyedRecord, snapshot bool, _ time.Duration) {
-		if snapshot {
+	follow(ctx, d.store, membersTopic, membersReadWait, clock, func(read topicRead) {
+		if read.snapshot {
 			clear(members)
-		} else if len(records) == 0 {
+		} else if len(read.records) == 0 {
 			return
 		}
-		for _, r := range records {
+		for _, r := range read.records {
 			if len(r.Value) == 0 {
 				delete(members, r.Key)
 			} else if m, ok := decodeMember(r); !ok {
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -63,10 +63,11 @@
 
 // followInbox applies the inbox's records as they arrive until the term ends.
 func (t *term) followInbox(ctx context.Context) {
-	follow(ctx, t.leader.deps.Store, InboxTopic, inboxReadWait, t.leader.deps.Clock, func(records []pv.KeyedRecord, _ bool, readStart time.Duration) {
+	follow(ctx, t.leader.deps.Store, InboxTopic, inboxReadWait, t.leader.deps.Clock, func(read topicRead) {
 		t.post(func(now time.Time) {
-			cancelled := t.applyInbox(ctx, now, records)
-			t.noteInboxRead(readStart, cancelled)
+			cancelled := t.applyInbox(ctx, now, read.records)
+			t.inboxEnd = read.end
+			t.noteInboxRead(read.startedAt, cancelled)
 		})
 	})
 }
@@ -75,7 +76,7 @@
 // counts once the cancellation is stored: the job's stops are sent then, and no orders may
 // permit starts before. Later reads wait for the same commit, unless they have cancelled
 // jobs themselves.
-func (t *term) noteInboxRead(readStart time.Duration, cancelled bool) {
+func (t *term) noteInboxRead(startedAt time.Duration, cancelled bool) {
 	if cancelled {
 		latest := new(time.Duration)
 		t.uncommittedInboxRead = latest
@@ -87,9 +88,9 @@
 		})
 	}
 	if t.uncommittedInboxRead != nil {
-		*t.uncommittedInboxRead = readStart
+		*t.uncommittedInboxRead = startedAt
 	} else {
-		t.inboxReadStartedAt = readStart
+		t.inboxReadStartedAt = startedAt
 	}
 }
 
@@ -189,13 +190,13 @@
 	}()
 }
 
-// answerAfterBarrierRead calls answer after it has read the inbox and committed a
-// batch. It is for questions about jobs that the planner doesn't have: the job may
+// answerAfterBarrierRead calls answer after it has read what is new in the inbox and
+// committed a batch. It is for questions about jobs that the planner doesn't have: the job may
 // be in the inbox, or a newer leader may have accepted it, and then the commit fails.
 func (t *term) answerAfterBarrierRead(answer func()) {
-	ctx := t.ctx
+	ctx, from := t.ctx, t.inboxEnd
 	go func() {
-		records, err := readAll(ctx, t.leader.deps.Store, InboxTopic)
+		records, err := readSince(ctx, t.leader.deps.Store, InboxTopic, from)
 		if err != nil {
 			return // the term has ended
 		}
--- a/leader/tail.go
+++ b/leader/tail.go
@@ -14,12 +14,19 @@
 // longPollMargin is the time for the response to a long poll, in addition to its wait.
 const longPollMargin = time.Second
 
-// follow calls handle with a topic's records until the context ends. If snapshot is
-// true, they are the newest records of all keys. readStart is the clock reading at
-// the start of the read. Each long poll waits at most the given time.
-func follow(ctx context.Context, store pv.Store, topic pv.Topic, wait time.Duration, clock func() time.Duration, handle func(records []pv.KeyedRecord, snapshot bool, readStart time.Duration)) {
+// topicRead is the result of one read of a followed topic.
+type topicRead struct {
+	records   []pv.KeyedRecord
+	snapshot  bool          // the records are the newest ones of all keys
+	startedAt time.Duration // clock reading at the start of the read
+	end       pv.Offset     // the read contains the effect of all records before it
+}
+
+// follow calls handle with a topic's records until the context ends. Each long poll waits
+// at most the given time.
+func follow(ctx context.Context, store pv.Store, topic pv.Topic, wait time.Duration, clock func() time.Duration, handle func(topicRead)) {
 	for ctx.Err() == nil {
-		readStart := clock()
+		startedAt := clock()
 		page, err := readPage(ctx, store, topic, "")
 		if err != nil {
 			return // the context has ended
@@ -31,9 +38,9 @@
 			}
 			records = append(records, page.Records...)
 		}
-		handle(records, true, readStart)
+		handle(topicRead{records, true, startedAt, from})
 		for ctx.Err() == nil {
-			readStart := clock()
+			startedAt := clock()
 			callCtx, cancel := context.WithTimeout(ctx, wait+longPollMargin)
 			tail, err := store.Tail(callCtx, topic, from, wait)
 			cancel()
@@ -47,7 +54,33 @@
 				break
 			}
 			from = tail.End
-			handle(tail.Records, false, readStart)
+			handle(topicRead{tail.Records, false, startedAt, from})
+		}
+	}
+}
+
+// readSince returns the records of a topic from an offset on, or the newest record of every
+// key if they have been truncated or the offset is 0.
+func readSince(ctx context.Context, store pv.Store, topic pv.Topic, from pv.Offset) ([]pv.KeyedRecord, error) {
+	if from == 0 {
+		return readAll(ctx, store, topic)
+	}
+	var out []pv.KeyedRecord
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		tail, err := store.Tail(callCtx, topic, from, 0)
+		cancel()
+		switch {
+		case err != nil:
+			if err := waitToRetry(ctx, err); err != nil {
+				return nil, err
+			}
+		case tail.Truncated:
+			return readAll(ctx, store, topic)
+		case len(tail.Records) == 0:
+			return out, nil
+		default: // one read returns a limited number of bytes
+			out, from = append(out, tail.Records...), tail.End
 		}
 	}
 }
