Stand-in worker: partitions that hold calls, delayed poll answers

Two faults that the site in memory couldn't express. A partition holds calls and answers and delivers them when it ends, also if the caller has given up; a delayed answer to a poll shows an old reading of the worker's clock. Starts that were held count as ordered when they were sent, as those of DelayedOrderFraction do.

--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -20,6 +20,13 @@
 	DelayedStartFraction float64 // the same for starts alone, if it is higher
 	LostAnswerFraction   float64 // fraction of orders that are carried out at once and not answered
 	FailedRunFraction    float64 // fraction of runs that fail
+	// Answers to polls are delayed by a time between the two, up to which their clock
+	// readings are out of date when they arrive.
+	MinPollAnswerDelay, MaxPollAnswerDelay time.Duration
+	// Partitioned holds calls and the answers to polls, and drops heartbeats. What is held
+	// is delivered in order once it is reset, also if its caller has given up; a crash or
+	// restart discards it.
+	Partitioned bool
 }
 
 // WorkerCrashes are the tasks that crash a JobWorker, and how the worker comes back.
@@ -61,6 +68,14 @@
 	crashes         WorkerCrashes
 	reset           chan struct{} // closed when a task crashes the worker: ends the calls in progress
 	runTimeOf       func(pv.TaskRef) time.Duration
+	held            []*heldCall   // by a partition, in order
+	healed          chan struct{} // closed when the partition ends; nil without one
+}
+
+// heldCall is a call that a partition holds.
+type heldCall struct {
+	execute  func()
+	executed bool
 }
 
 // formerCapacity is a capacity that the worker had before a change.
@@ -164,6 +179,54 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults = f
+	switch {
+	case f.Partitioned && r.healed == nil:
+		r.healed = make(chan struct{})
+	case !f.Partitioned && r.healed != nil:
+		held := r.held
+		r.held = nil
+		for _, c := range held {
+			c.execute()
+			c.executed = true
+		}
+		close(r.healed)
+		r.healed = nil
+	}
+}
+
+// Faults returns the injected faults.
+func (r *JobWorker) Faults() JobWorkerFaults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// hold holds a call if the worker is partitioned from its callers, and reports whether it
+// did. It then waits until the partition ends or the caller gives up, and reports also
+// whether the call was carried out by then. The caller holds r.mu, which is released
+// meanwhile.
+func (r *JobWorker) hold(ctx context.Context, execute func()) (held, executed bool) {
+	if !r.faults.Partitioned {
+		return false, false
+	}
+	c := &heldCall{execute: execute}
+	r.held = append(r.held, c)
+	r.awaitHealed(ctx)
+	return true, c.executed && ctx.Err() == nil
+}
+
+// awaitHealed waits until the worker isn't partitioned from its callers, or the context
+// ends. The caller holds r.mu, which is released meanwhile.
+func (r *JobWorker) awaitHealed(ctx context.Context) {
+	for r.healed != nil && ctx.Err() == nil {
+		healed := r.healed
+		r.mu.Unlock()
+		select {
+		case <-healed:
+		case <-ctx.Done():
+		}
+		r.mu.Lock()
+	}
 }
 
 func (r *JobWorker) startIncarnation() {
@@ -191,7 +254,7 @@
 	}
 	clear(r.runs)
 	r.generation++
-	r.down = true
+	r.down, r.held = true, nil
 }
 
 // crashByTask crashes the worker, ends the calls in progress, and schedules the return.
@@ -237,7 +300,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state.Sequence++
-	return r.state, !r.down
+	return r.state, !r.down && !r.faults.Partitioned
 }
 
 // SetDraining sets whether the worker reports that it is draining.
@@ -346,6 +409,11 @@
 		}
 		if first {
 			apply := func() bool { return r.applyPoll(lease, acknowledged) }
+			generation := r.generation
+			if held, executed := r.hold(ctx, func() { apply() }); held && (!executed || r.generation != generation || id != r.state.ID) {
+				r.mu.Unlock()
+				return pv.WorkerRuns{}, errNoAnswer
+			}
 			if r.delayOrder(r.faults.DelayedOrderFraction, func() { apply() }) {
 				r.awaitCaller(ctx)
 				r.mu.Unlock()
@@ -367,20 +435,37 @@
 		changed, reset := r.changed, r.reset
 		r.mu.Unlock()
 		if len(out.Ended) > 0 || wait == 0 {
-			return out, nil
+			return r.answerPoll(ctx, out)
 		}
 		select {
 		case <-changed:
 		case <-reset:
 			return pv.WorkerRuns{}, errReset
 		case <-timeout:
-			return out, nil
+			return r.answerPoll(ctx, out)
 		case <-ctx.Done():
 			return pv.WorkerRuns{}, ctx.Err()
 		}
 	}
 }
 
+// answerPoll returns the answer to a poll, after the delays of injected faults.
+func (r *JobWorker) answerPoll(ctx context.Context, out pv.WorkerRuns) (pv.WorkerRuns, error) {
+	r.mu.Lock()
+	delay := r.faults.MinPollAnswerDelay
+	if span := r.faults.MaxPollAnswerDelay - delay; span > 0 {
+		delay += time.Duration(r.random.Int64N(int64(span)))
+	}
+	r.awaitHealed(ctx)
+	r.mu.Unlock()
+	if delay > 0 {
+		if err := sleep(ctx, delay); err != nil {
+			return pv.WorkerRuns{}, err
+		}
+	}
+	return out, ctx.Err()
+}
+
 func (r *JobWorker) applyPoll(lease pv.WorkerLease, acknowledged int64) bool {
 	if lease.FencingToken < r.fencingToken {
 		return false
@@ -407,6 +492,17 @@
 		r.mu.Lock()
 		return pv.StartUnknown, ctx.Err()
 	}
+	answer := pv.StartUnknown
+	if held, executed := r.hold(ctx, func() {
+		answer = pv.StartWrongWorker
+		if id == r.state.ID {
+			answer = r.start(lease, order, orderedAt)
+		}
+	}); held && !executed {
+		return pv.StartUnknown, errNoAnswer
+	} else if held {
+		return answer, nil
+	}
 	if id != r.state.ID {
 		return pv.StartWrongWorker, nil
 	}
@@ -414,7 +510,7 @@
 		r.awaitCaller(ctx)
 		return pv.StartUnknown, errNoAnswer
 	}
-	answer := r.start(lease, order, orderedAt)
+	answer = r.start(lease, order, orderedAt)
 	if r.loseAnswer(ctx) {
 		return pv.StartUnknown, errLost
 	}
@@ -469,6 +565,12 @@
 func (r *JobWorker) Stop(ctx context.Context, id pv.WorkerID, lease pv.WorkerLease, ref pv.RunRef) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	stopped := false
+	if held, executed := r.hold(ctx, func() { stopped = id == r.state.ID && r.stop(lease, ref) }); held && (!executed || !stopped) {
+		return errNoAnswer
+	} else if held {
+		return nil
+	}
 	if r.down || id != r.state.ID {
 		return errNoWorker
 	}
--- a/standin/job_worker_test.go
+++ b/standin/job_worker_test.go
@@ -233,3 +233,78 @@
 		})
 	}
 }
+
+// What a partition holds is carried out when it ends, also if the caller has given up, and
+// counts as ordered when it was sent; what was sent to a former incarnation isn't.
+func TestPartitionHoldsCalls(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		w := newJobWorkerTest(t, nil)
+		order := func(job string) pv.RunOrder {
+			return pv.RunOrder{Run: pv.RunRef{Task: pv.TaskRef{Job: pv.JobID(job)}, Attempt: 1}}
+		}
+		given, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		partition := func(on bool) { w.SetFaults(JobWorkerFaults{Partitioned: on}) }
+
+		partition(true)
+		if got, err := w.Start(given, "w", w.lease, order("held")); got != pv.StartUnknown || err == nil {
+			t.Errorf("start during a partition: got %s, %v, want %s and an error", got, err, pv.StartUnknown)
+		}
+		if _, ok := w.Heartbeat(); ok {
+			t.Error("got a heartbeat during a partition, want none")
+		}
+		w.audit.RecordCancellation("held")
+		time.Sleep(cancellationGrace + time.Second)
+		if w.audit.JobStarted("held") {
+			t.Error("got the start carried out during the partition, want it held")
+		}
+		partition(false)
+		if !w.audit.JobStarted("held") {
+			t.Error("got no start after the partition, want the held one")
+		}
+		if got := w.audit.Violations(); len(got) != 0 {
+			t.Errorf("got violations %v, want none: the start was sent before the cancellation", got)
+		}
+
+		partition(true)
+		answers := make(chan pv.StartAnswer)
+		go func() {
+			answer, _ := w.Start(context.Background(), "w", w.lease, order("late"))
+			answers <- answer
+		}()
+		time.Sleep(time.Second)
+		partition(false)
+		if got := <-answers; got != pv.StartAccepted {
+			t.Errorf("start that waited for the end of a partition: got %s, want %s", got, pv.StartAccepted)
+		}
+
+		partition(true)
+		given, cancel = context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, _ = w.Start(given, "w", w.lease, order("former")) // held, see above
+		w.Restart()
+		partition(false)
+		time.Sleep(time.Second)
+		if w.audit.JobStarted("former") {
+			t.Error("got a start that was sent to a former incarnation, want none")
+		}
+	})
+}
+
+// A delayed answer to a poll shows the clock of when the worker answered.
+func TestDelayedPollAnswer(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		w := newJobWorkerTest(t, nil)
+		const delay = 700 * time.Millisecond
+		w.SetFaults(JobWorkerFaults{MinPollAnswerDelay: delay, MaxPollAnswerDelay: delay})
+		sentAt := time.Now()
+		time.Sleep(time.Second)
+		runs, err := w.Poll(context.Background(), "w", w.lease, 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := time.Since(sentAt) - runs.Clock; got != delay {
+			t.Errorf("got an answer %v after the reading of its clock, want %v", got, delay)
+		}
+	})
+}
--- a/standin/run_audit.go
+++ b/standin/run_audit.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// CancellationCount returns the number of jobs whose cancellation was acknowledged.
+func (a *RunAudit) CancellationCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.cancelledAt)
+}
+
 // cancellationGrace is the time after an acknowledged cancellation within which
 // start orders for the job's tasks are no violation.
 const cancellationGrace = 3 * time.Second
