Tests of the checks between a decision and a start that no test missed

Removing one of these checks failed no test before: that a run which was stopped or has ended meanwhile isn't sent (at Committed, at Orders and in full orders); that orders count from now at most; that a failed call or poll holds starts until a poll that began later; that orders for another worker or incarnation, or on a replaced link, have no effect; that what was ordered of a former incarnation ends with it. Each now has a test that fails without it. The worker of the supervisor's tests can break calls at once and answer polls late.

--- /dev/null
+++ b/supervisor/calls_paths_test.go
@@ -0,0 +1,244 @@
+package supervisor
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pv "persimmonvalve"
+	"persimmonvalve/internal/pipenet"
+	"persimmonvalve/internal/wire"
+	"persimmonvalve/messenger"
+)
+
+// Orders that tell a later reading of the worker's clock than any poll has shown permit no
+// starts for longer than fresh ones: the reading is wrong, and the orders can't be newer than
+// their arrival.
+func TestNoStartOnOrdersFromTheFuture(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		h.worker.setUnanswered(unansweredStarts("j"))
+		h.renew(time.Second)
+		h.mu.Lock()
+		h.clock += 10 * time.Second
+		h.mu.Unlock()
+		h.send(false, startsOf(testRuns("j", 2)))
+		orderedAt := time.Now()
+		h.link.Close()
+		time.Sleep(8 * time.Second)
+		calls := h.worker.callsOf(startCall)
+		if len(calls) == 0 {
+			t.Error("got no start, want some")
+		}
+		for _, c := range calls {
+			if age := c.beganAt.Sub(orderedAt); age > maxOrdersAge {
+				t.Errorf("got a start of %v %v after the last orders, want none after %v", c.run, age, maxOrdersAge)
+			}
+		}
+	})
+}
+
+// A start was sent after another call had failed, to a worker that had restarted meanwhile:
+// only a poll that begins later shows which incarnation answers.
+func TestNoStartAfterFailedCallBeforePoll(t *testing.T) {
+	failed, next := testRuns("failed", 1), testRuns("next", 1)
+	for name, c := range map[string]struct {
+		kind string
+		call func(h *callHarness)
+	}{
+		"start": {startCall, func(h *callHarness) { h.send(false, startsOf(failed)) }},
+		"start, while the answer to an earlier poll is on its way": {startCall, func(h *callHarness) {
+			h.awaitPollAnswer(400 * time.Millisecond)
+			h.send(false, startsOf(failed))
+		}},
+		"stop": {stopCall, func(h *callHarness) { h.send(false, nil, failed...) }},
+		"poll": {pollCall, func(*callHarness) { time.Sleep(pollWait); synctest.Wait() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			kind, call := c.kind, c.call
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer h.stop()
+				if kind == stopCall {
+					h.send(false, startsOf(failed))
+				}
+				h.renew(time.Second)
+				time.Sleep(20 * time.Millisecond) // no poll ends at the same moment
+				failures := 0
+				h.worker.mu.Lock()
+				h.worker.broken = func(k string) bool {
+					if k == kind {
+						failures++
+					}
+					return k == kind
+				}
+				h.worker.mu.Unlock()
+				call(h)
+				h.worker.mu.Lock()
+				if failures == 0 {
+					t.Error("got no failed call, want one")
+				}
+				h.worker.broken, h.worker.incarnation = nil, 2
+				h.worker.mu.Unlock()
+				h.send(false, startsOf(next))
+				time.Sleep(3 * time.Second)
+				for _, c := range h.worker.callsOf(startCall) {
+					if c.run == next[0] {
+						t.Errorf("got a start of %v, want none before a poll", c.run)
+					}
+				}
+			})
+		})
+	}
+}
+
+// awaitPollAnswer delays the answers to polls and waits until one is on its way.
+func (h *callHarness) awaitPollAnswer(delay time.Duration) {
+	answered := func() int {
+		h.worker.mu.Lock()
+		defer h.worker.mu.Unlock()
+		h.worker.answerDelay = delay
+		return len(h.worker.polls)
+	}
+	for before := answered(); answered() == before; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Orders for a former incarnation of the worker, or for another worker, which were on their
+// way when the supervisor learned of its worker, were carried out.
+func TestNoStartOnOrdersForAnotherWorker(t *testing.T) {
+	for name, orders := range map[string]*wire.WorkerOrders{
+		"former incarnation": {Worker: "w", Life: 1},
+		"later incarnation":  {Worker: "w", Life: 3},
+		"another worker":     {Worker: "v", Life: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer h.stop()
+				h.heartbeat(2, false)
+				time.Sleep(time.Second)
+				full := messenger.EncodeOrders(pv.WorkerID(orders.Worker), orders.Life, pv.WorkerLease{FencingToken: h.epoch, End: h.newestLeaseEnd()}, 0, true, startsOf(testRuns("j", 2)), nil)
+				h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: full}})
+				time.Sleep(time.Second)
+				kept := 0
+				h.supervisor.eventLoop.Do(func() { kept = len(h.supervisor.runs) })
+				if got := len(h.worker.callsOf(startCall)); got != 0 || kept != 0 {
+					t.Errorf("got %d starts and %d runs, want none", got, kept)
+				}
+			})
+		})
+	}
+}
+
+// No call is made under a lease of another incarnation: its end is a reading of another
+// clock.
+func TestNoCallUnderLeaseOfAnotherIncarnation(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		v := h.supervisor
+		v.eventLoop.Do(func() {
+			v.leaseIncarnation--
+			for _, o := range startsOf(testRuns("j", 2)) {
+				v.runs[o.Run] = &run{order: o}
+			}
+			v.permitStarts(time.Now(), 0)
+			v.stopRun(testRuns("stopped", 1)[0], "ordered")
+		})
+		time.Sleep(time.Second)
+		if got := len(h.worker.callsOf(startCall)) + len(h.worker.callsOf(stopCall)); got != 0 {
+			t.Errorf("got %d calls, want none", got)
+		}
+	})
+}
+
+// Orders for a former incarnation were carried out on the next one, once that had a lease of
+// its own.
+func TestOrdersEndWithTheirIncarnation(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		h.worker.setUnanswered(unansweredStarts("j"))
+		h.send(false, startsOf(testRuns("j", 4)))
+		time.Sleep(100 * time.Millisecond)
+		h.heartbeat(2, false)
+		time.Sleep(time.Second) // a poll shows it
+		sent := len(h.worker.callsOf(startCall))
+		v := h.supervisor
+		v.eventLoop.Do(func() {
+			if v.lease != (pv.WorkerLease{}) {
+				t.Errorf("got the lease %+v in the next incarnation, want none", v.lease)
+			}
+		})
+		for range 10 {
+			orders := messenger.EncodeOrders("w", 2, pv.WorkerLease{FencingToken: h.epoch, End: h.newestLeaseEnd()}, 0, false, nil, nil)
+			h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}})
+			time.Sleep(400 * time.Millisecond)
+		}
+		for _, c := range h.worker.callsOf(startCall)[sent:] {
+			t.Errorf("got a start of %v on the next incarnation, want none", c.run)
+		}
+	})
+}
+
+// Orders on a link that a later leader's has replaced were carried out under the former
+// leader's token.
+func TestNoStartOnReplacedLink(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		v := h.supervisor
+		var former *messenger.Link
+		v.eventLoop.Do(func() { former = v.link })
+		h.connect()
+		h.send(true, nil)
+		formerLeader := func() {
+			orders := messenger.EncodeOrders("w", 1, pv.WorkerLease{FencingToken: h.epoch - 1, End: h.newestLeaseEnd()}, 0, true, startsOf(testRuns("j", 2)), nil)
+			v.Frame(former, &wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}})
+			h.renew(time.Second)
+		}
+		formerLeader()
+		v.LeaderConnected(former, "former leader", h.epoch-1) // late: the link's goroutine was held up
+		formerLeader()
+		if got := len(h.worker.callsOf(startCall)); got != 0 {
+			t.Errorf("got %d starts on the former leader's orders, want none", got)
+		}
+	})
+}
+
+// The result of a start call was taken for that of a later run of the same reference, whose
+// own call was in progress: the run was then reported as absent.
+func TestResultOfCallOfReplacedRun(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		r := testRuns("j", 1)[0]
+		first, second := make(chan struct{}), make(chan struct{})
+		hold := func(c chan struct{}) {
+			h.worker.mu.Lock()
+			defer h.worker.mu.Unlock()
+			h.worker.held[r] = c
+		}
+		hold(first)
+		h.send(false, startsOf([]pv.RunRef{r}))
+		time.Sleep(50 * time.Millisecond)
+		h.supervisor.eventLoop.Do(func() { h.supervisor.forgetRun(r) })
+		hold(second)
+		h.send(true, []pv.RunOrder{{Run: r}})
+		time.Sleep(50 * time.Millisecond)
+		close(first)
+		h.send(false, nil, r)
+		h.renew(3 * time.Second)
+		if !h.absentAt(r).IsZero() {
+			t.Error("got the run reported absent while its start is in progress, want it reported later")
+		}
+		close(second)
+		h.renew(2 * time.Second)
+		if h.absentAt(r).IsZero() {
+			t.Error("got the run not reported absent after its start has ended, want it reported")
+		}
+	})
+}
--- a/supervisor/calls_test.go
+++ b/supervisor/calls_test.go
@@ -43,6 +43,7 @@
 	startCall    = "start"
 	stopCall     = "stop"
 	cpuLimitCall = "CPU limit"
+	pollCall     = "poll"
 )
 
 var errUnanswered = errors.New("no answer")
@@ -64,6 +65,8 @@
 
 	mu          sync.Mutex
 	incarnation int64
+	broken      func(kind string) bool                           // calls that fail at once, without effect; nil is none
+	answerDelay time.Duration                                    // of polls, from when the worker answers
 	unanswered  func(kind string, r pv.RunRef, earlier int) bool // earlier is the number of earlier calls of this kind for the run
 	held        map[pv.RunRef]chan struct{}                      // runs whose start calls return once the channel is closed, also if their context has ended
 	running     map[pv.RunRef]bool
@@ -75,6 +78,12 @@
 
 func (w *callWorker) Poll(ctx context.Context, _ pv.WorkerID, l pv.WorkerLease, _ int64, wait time.Duration) (pv.WorkerRuns, error) {
 	p := workerCall{beganAt: time.Now(), lease: l, answered: true}
+	w.mu.Lock()
+	broken := w.broken != nil && w.broken(pollCall)
+	w.mu.Unlock()
+	if broken {
+		return pv.WorkerRuns{}, errUnanswered
+	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -82,6 +91,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	defer func() {
+		if delay := w.answerDelay; delay > 0 {
+			w.mu.Unlock()
+			time.Sleep(delay)
+			w.mu.Lock()
+		}
+	}()
 	p.endedAt = time.Now()
 	w.polls = append(w.polls, p)
 	out := pv.WorkerRuns{Incarnation: w.incarnation, Clock: time.Since(w.startedAt)}
@@ -109,6 +125,9 @@
 	c := &workerCall{kind: kind, run: r, lease: l, beganAt: time.Now()}
 	w.calls = append(w.calls, c)
 	defer func() { c.endedAt = time.Now() }()
+	if w.broken != nil && w.broken(kind) {
+		return errUnanswered
+	}
 	held := w.held[r]
 	if held != nil && kind == startCall {
 		w.mu.Unlock()
