Site in memory: cancellations beside several faults at once and in a row

Links can be delayed and held, and store calls held, by injections that add up. Reads of the store that are in progress when an injection begins get no answer either.

checkCancellation and checkLateSubmission are what two earlier tests did; those use them now. The first has 64 small tasks instead of 8, so that starts are repeated at all times.

--- a/gateway/cancel_review_test.go
+++ b/gateway/cancel_review_test.go
@@ -16,6 +16,23 @@
 // A job starts after its cancellation was answered with "unknown job" when its
 // submission, which had no answer, is stored late.
 func TestLateSubmissionAfterCancellationOfUnknownJob(t *testing.T) {
+	checkLateSubmission(t, cancelUnknownOverLink, func(*siteHarness) {})
+}
+
+// cancelUnknownOverLink cancels a job that the leader doesn't know, at a gateway with a link
+// to it.
+func cancelUnknownOverLink(s *siteHarness, id pv.JobID) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	if got := s.gateways[0].gateway.Cancel(ctx, id).Result; got != gateway.UnknownJob {
+		s.t.Fatalf("got %s, want %s", got, gateway.UnknownJob)
+	}
+}
+
+// checkLateSubmission cancels a job before its submission, which had no answer, is stored in
+// the inbox 2 s later, after the change. The job must not start.
+func checkLateSubmission(t *testing.T, cancel func(s *siteHarness, id pv.JobID), change func(s *siteHarness)) {
+	t.Helper()
 	pipenet.Bubble(t, func(t *testing.T) {
 		s := newSiteHarness(t, 1)
 		defer s.close()
@@ -25,11 +42,8 @@
 		s.mu.Lock()
 		s.jobs[job.ID] = job
 		s.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-		defer cancel()
-		if got := s.gateways[0].gateway.Cancel(ctx, job.ID).Result; got != gateway.UnknownJob {
-			t.Fatalf("got %s, want %s", got, gateway.UnknownJob)
-		}
+		cancel(s, job.ID)
+		change(s)
 		time.Sleep(2 * time.Second)
 		spec, err := json.Marshal(job)
 		if err != nil {
--- a/gateway/cancellation_test.go
+++ b/gateway/cancellation_test.go
@@ -29,11 +29,57 @@
 	return fault{}
 }
 
+// timedFault is a fault that is injected at a time after the first submission, and undone
+// after its duration.
+type timedFault struct {
+	at, duration time.Duration
+	inject       func(s *siteHarness, r *rand.Rand) (undo func())
+}
+
+// Submissions of runCancellations.
+const (
+	cancellationJobs     = 40
+	cancellationInterval = 200 * time.Millisecond // between submissions, which last 8 s
+)
+
+// cancellationRun is what runCancellations does.
+type cancellationRun struct {
+	faults       []timedFault
+	steps        int           // of each job; the tasks are divided among them
+	cancelWithin time.Duration // from the acknowledgement of a job
+}
+
+// cancelledAtOnce returns a run with jobs of one step, cancelled within 300 ms.
+func cancelledAtOnce(faults ...timedFault) cancellationRun {
+	return cancellationRun{faults: faults, steps: 1, cancelWithin: 300 * time.Millisecond}
+}
+
+// twice injects the fault, if it isn't nil, twice for 2 s.
+func twice(f *fault) []timedFault {
+	if f == nil {
+		return nil
+	}
+	return []timedFault{{2 * time.Second, 2 * time.Second, f.inject}, {5 * time.Second, 2 * time.Second, f.inject}}
+}
+
+// job returns job i.
+func (c cancellationRun) job(i int) pv.Job {
+	j := pv.Job{ID: pv.JobID(fmt.Sprintf("%016x", i)), Payload: "p"}
+	for step := range c.steps {
+		s := pv.Step{Count: 24 / c.steps, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime}
+		if step > 0 {
+			s.After = []int{step - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
 // runCancellations submits jobs of 24 tasks for 8 s on workers that leave two of five
-// orders unanswered, and cancels three of four jobs within 300 ms of their
-// acknowledgement. Meanwhile it injects the fault, if it isn't nil, twice for 2 s.
+// orders unanswered, and cancels three of four jobs soon after their
+// acknowledgement. Meanwhile it injects the faults.
 // It checks all jobs after 30 s without faults.
-func runCancellations(t *testing.T, seed uint64, f *fault) {
+func runCancellations(t *testing.T, seed uint64, c cancellationRun) {
 	pipenet.Bubble(t, func(t *testing.T) {
 		s := newSiteHarnessOfCapacity(t, seed, workerCount, 32*taskMilliCores)
 		defer s.close()
@@ -47,13 +93,11 @@
 		confirmed := 0
 		var mu sync.Mutex
 		var calls sync.WaitGroup
-		var undo func()
-		for i := range 40 {
-			job := pv.Job{ID: pv.JobID(fmt.Sprintf("%016x", i)), Payload: "p", Steps: []pv.Step{{
-				Count: 24, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime,
-			}}}
+		undo := make([]func(), len(c.faults)) // of the faults that have been injected
+		for i := range cancellationJobs {
+			job := c.job(i)
 			gateways := append([]*process(nil), s.gateways...)
-			wantCancel, delay := i%4 != 0, time.Duration(random.IntN(300))*time.Millisecond
+			wantCancel, delay := i%4 != 0, time.Duration(random.IntN(int(c.cancelWithin/time.Millisecond)))*time.Millisecond
 			calls.Add(1)
 			go func() {
 				defer calls.Done()
@@ -80,14 +124,22 @@
 					time.Sleep(500 * time.Millisecond)
 				}
 			}()
-			if f != nil && (i == 10 || i == 25) {
-				undo = f.inject(s, random)
+			now := time.Duration(i) * cancellationInterval
+			for n, f := range c.faults {
+				if f.at <= now && now < f.at+cancellationInterval {
+					undo[n] = f.inject(s, random)
+				}
+				if undo[n] != nil && now >= f.at+f.duration {
+					undo[n]()
+					undo[n] = nil
+				}
 			}
-			if undo != nil && (i == 20 || i == 35) {
-				undo()
-				undo = nil
+			time.Sleep(cancellationInterval)
+		}
+		for _, u := range undo {
+			if u != nil {
+				u()
 			}
-			time.Sleep(200 * time.Millisecond)
 		}
 		for _, w := range s.workers {
 			w.SetFaults(standin.JobWorkerFaults{})
@@ -123,7 +175,7 @@
 		}
 		t.Run(label, func(t *testing.T) {
 			for seed := first; seed < first+count; seed++ {
-				t.Run(fmt.Sprint(seed), func(t *testing.T) { runCancellations(t, seed, f) })
+				t.Run(fmt.Sprint(seed), func(t *testing.T) { runCancellations(t, seed, cancelledAtOnce(twice(f)...)) })
 			}
 		})
 	}
@@ -141,21 +193,8 @@
 	}
 	for name, hangs := range causes {
 		t.Run(name, func(t *testing.T) {
-			pipenet.Bubble(t, func(t *testing.T) {
-				s := newSiteHarness(t, 1)
-				defer s.close()
-				s.waitForLeader()
-				time.Sleep(3 * time.Second)
-				job := pv.Job{ID: "job", Payload: "p", Steps: []pv.Step{{
-					Count: 8, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: taskRunTime,
-				}}}
-				s.mu.Lock()
-				s.startHangs = func(id pv.JobID) bool { return id == job.ID }
-				s.mu.Unlock()
-				s.submitUntilAccepted(job)
-				time.Sleep(300 * time.Millisecond)
+			checkCancellation(t, 1, "", func(s *siteHarness) (*process, func(), func()) {
 				linked := s.leaderIndex()
-				cutOff := s.gateways[(linked+1)%gatewayCount]
 				for i, p := range s.gateways {
 					if i != linked {
 						s.network.Isolate(p.name, true)
@@ -165,33 +204,70 @@
 				s.storeCallHangs = func(process string, topic pv.Topic, appends bool) bool {
 					return process == s.gateways[linked].name && hangs(topic, appends)
 				}
-				if s.lastStart[job.ID].IsZero() {
-					t.Error("got no start before the cancellation, want some")
-				}
 				s.mu.Unlock()
 				time.Sleep(50 * time.Millisecond)
-				if !s.cancelJob(cutOff, job.ID) {
-					t.Fatal("got the cancellation not confirmed, want it confirmed")
-				}
-				confirmedAt := time.Now()
-				time.Sleep(10 * time.Second)
-				s.mu.Lock()
-				if after := s.lastStart[job.ID].Sub(confirmedAt); after > 3*time.Second {
-					t.Errorf("got a start call %v after the confirmed cancellation, want none after 3 s", after)
-				}
-				s.startHangs, s.storeCallHangs = nil, nil
-				s.mu.Unlock()
-				for _, p := range s.gateways {
-					s.network.Isolate(p.name, false)
-				}
-				time.Sleep(30 * time.Second)
-				s.mu.Lock()
-				started := !s.lastStart[job.ID].Before(confirmedAt.Add(10 * time.Second))
-				s.mu.Unlock()
-				if started {
-					t.Error("got a start call after the faults, want none")
+				return s.gateways[(linked+1)%gatewayCount], nil, func() {
+					s.mu.Lock()
+					s.storeCallHangs = nil
+					s.mu.Unlock()
+					for _, p := range s.gateways {
+						s.network.Isolate(p.name, false)
+					}
 				}
 			})
 		})
 	}
 }
+
+// checkCancellation submits a job whose starts have no effect and get the answer, or none if
+// that is empty, disturbs the site, and cancels the job at the gateway that disturb returns. It calls what disturb returns besides, if it
+// isn't nil, right after the confirmation and 10 s later. No start call may begin more than
+// 3 s after the confirmation.
+func checkCancellation(t *testing.T, seed uint64, startAnswer pv.StartAnswer, disturb func(s *siteHarness) (cancelAt *process, afterwards, undo func())) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		s := newSiteHarness(t, seed)
+		defer s.close()
+		s.waitForLeader()
+		time.Sleep(3 * time.Second)
+		job := pv.Job{ID: "job", Payload: "p", Steps: []pv.Step{{
+			Count: 64, Size: pv.Resources{MilliCores: taskMilliCores / 8, MemoryMB: 100}, Estimate: taskRunTime, // many, so that starts are repeated at all times
+		}}}
+		s.mu.Lock()
+		s.startHangs, s.startAnswer = func(id pv.JobID) bool { return id == job.ID }, startAnswer
+		s.mu.Unlock()
+		s.submitUntilAccepted(job)
+		time.Sleep(300 * time.Millisecond)
+		cancelAt, afterwards, undo := disturb(s)
+		s.mu.Lock()
+		if s.lastStart[job.ID].IsZero() {
+			t.Error("got no start before the cancellation, want some")
+		}
+		s.mu.Unlock()
+		if !s.cancelJob(cancelAt, job.ID) {
+			t.Fatal("got the cancellation not confirmed, want it confirmed")
+		}
+		confirmedAt := time.Now()
+		if afterwards != nil {
+			afterwards()
+		}
+		time.Sleep(time.Until(confirmedAt.Add(10 * time.Second)))
+		s.mu.Lock()
+		after := s.lastStart[job.ID].Sub(confirmedAt)
+		t.Logf("last start call %v after the confirmed cancellation", after)
+		if after > 3*time.Second {
+			t.Errorf("got a start call %v after the confirmed cancellation, want none after 3 s", after)
+		}
+		s.startHangs = nil
+		s.mu.Unlock()
+		if undo != nil {
+			undo()
+		}
+		time.Sleep(30 * time.Second)
+		s.mu.Lock()
+		started := !s.lastStart[job.ID].Before(confirmedAt.Add(10 * time.Second))
+		s.mu.Unlock()
+		if started {
+			t.Error("got a start call after the faults, want none")
+		}
+	})
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -69,9 +69,14 @@
 	// storeCallHangs, if not nil, reports whether a process's reads of a topic or appends to
 	// it get no answer and have no effect.
 	storeCallHangs func(process string, topic pv.Topic, appends bool) bool
-	// startHangs, if not nil, reports whether a job's starts get no answer and have no effect.
-	startHangs func(pv.JobID) bool
-	lastStart  map[pv.JobID]time.Time // when the last start call of a job began
+	// startHangs, if not nil, reports whether a job's starts have no effect. They get the answer
+	// startAnswer after startAnswerDelay, or none.
+	startHangs  func(pv.JobID) bool
+	startAnswer pv.StartAnswer
+	lastStart   map[pv.JobID]time.Time    // when the last start call of a job began
+	injections  map[int]injection         // in effect, by number
+	processAt   map[netip.AddrPort]string // by address of its listener
+	delaysLinks bool                      // links are opened as delayedConn
 }
 
 func newSiteHarness(t *testing.T, seed uint64) *siteHarness {
@@ -87,7 +92,7 @@
 	s := &siteHarness{
 		t: t, network: pipenet.New(), store: standin.NewKeyedStore(seed), logger: testLogger(),
 		jobs: map[pv.JobID]pv.Job{}, accepted: map[pv.JobID]bool{}, refused: map[pv.JobID]bool{}, notRefused: map[pv.JobID]bool{},
-		stopped: make(chan struct{}), lastStart: map[pv.JobID]time.Time{},
+		stopped: make(chan struct{}), lastStart: map[pv.JobID]time.Time{}, injections: map[int]injection{}, processAt: map[netip.AddrPort]string{},
 	}
 	s.runAudit = standin.NewRunAudit(s.predecessors)
 	for i := range workers {
@@ -154,13 +159,13 @@
 	incarnationID := fmt.Sprintf("boot-%d", s.lastSerial)
 	ctx, cancel := context.WithCancel(context.Background())
 	store := &processStore{Store: s.store.ClientFor(name), lifetime: ctx, site: s, process: name}
-	l := s.network.Listen(name)
+	l := s.listen(name)
 	logger := s.logger.With(zap.String("node", name))
 	startedAt := time.Now()
 	g := gateway.New(name, gateway.Dependencies{Store: store, Listener: l, Logger: logger, Registry: prometheus.NewRegistry()})
 	members := leader.NewDirectory(ctx, store, leader.Member{Node: name, Role: gateway.Role, Address: l.Address(), IncarnationID: incarnationID, Candidate: true}, g.LeaderStatus, nil, logger)
 	lead := leader.New(leader.Settings{Node: name, IncarnationID: incarnationID, Planner: planner.DefaultSettings()}, leader.Dependencies{
-		Store: store, Directory: members, LeaderStatus: g.LeaderStatus, Dial: s.network.Dialer(name),
+		Store: store, Directory: members, LeaderStatus: g.LeaderStatus, Dial: s.dialer(name),
 		Clock: func() time.Duration { return time.Since(startedAt) }, Logger: logger, Registry: prometheus.NewRegistry(),
 	})
 	lead.SetQueues([]pv.Queue{siteQueue})
@@ -177,7 +182,7 @@
 	name := fmt.Sprintf("agent-%d", i)
 	ctx, cancel := context.WithCancel(context.Background())
 	store := &processStore{Store: s.store.ClientFor(name), lifetime: ctx, site: s, process: name}
-	l := s.network.Listen(name)
+	l := s.listen(name)
 	logger := s.logger.With(zap.String("node", name))
 	worker := &processWorker{WorkerClient: s.workers[i], lifetime: ctx, site: s}
 	v := supervisor.New(supervisor.Settings{Node: name, Worker: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)}, supervisor.Dependencies{Worker: worker, Listener: l, Logger: logger, Registry: prometheus.NewRegistry()})
@@ -208,12 +213,30 @@
 	process  string
 }
 
-// hang waits for the end of the context if the site's storeCallHangs says so.
+// hang waits for the end of the context if the site's storeCallHangs says so, or an
+// injection.
 func (s *processStore) hang(ctx context.Context, topic pv.Topic, appends bool) error {
 	s.site.mu.Lock()
 	hangs := s.site.storeCallHangs
 	s.site.mu.Unlock()
 	if hangs == nil || !hangs(s.process, topic, appends) {
+		return s.hangInjected(ctx, topic, appends)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// hangInjected waits for the end of the context if an injection leaves the call without an
+// answer, and for as long as one holds it. Reads in progress get no answer either.
+func (s *processStore) hangInjected(ctx context.Context, topic pv.Topic, appends bool) error {
+	for s.site.storeCallHeld(s.process) {
+		select {
+		case <-time.After(heldCheckInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if !s.site.storeCallHangsNow(s.process, topic, appends) {
 		return nil
 	}
 	<-ctx.Done()
@@ -250,7 +273,11 @@
 	if err := s.hang(ctx, topic, false); err != nil {
 		return pv.KeyedPage{}, err
 	}
-	return s.Store.Newest(ctx, topic, after)
+	page, err := s.Store.Newest(ctx, topic, after)
+	if err := s.hangInjected(ctx, topic, false); err != nil {
+		return pv.KeyedPage{}, err
+	}
+	return page, err
 }
 
 func (s *processStore) Tail(ctx context.Context, topic pv.Topic, from pv.Offset, wait time.Duration) (pv.KeyedTail, error) {
@@ -259,7 +286,11 @@
 	if err := s.hang(ctx, topic, false); err != nil {
 		return pv.KeyedTail{}, err
 	}
-	return s.Store.Tail(ctx, topic, from, wait)
+	tail, err := s.Store.Tail(ctx, topic, from, wait)
+	if err := s.hangInjected(ctx, topic, false); err != nil {
+		return pv.KeyedTail{}, err
+	}
+	return tail, err
 }
 
 // processWorker is a worker client bound to one supervisor's lifetime: its starts and polls
@@ -270,6 +301,10 @@
 	site     *siteHarness
 }
 
+// startAnswerDelay is longer than a supervisor lets a start hold up others, so that it sends
+// many starts one after the other.
+const startAnswerDelay = 60 * time.Millisecond
+
 func (w *processWorker) Start(ctx context.Context, id pv.WorkerID, a pv.WorkerLease, o pv.RunOrder) (pv.StartAnswer, error) {
 	if w.lifetime.Err() != nil {
 		return pv.StartUnknown, w.lifetime.Err()
@@ -277,11 +312,19 @@
 	job := o.Run.Task.Job
 	w.site.mu.Lock()
 	w.site.lastStart[job] = time.Now()
-	hangs := w.site.startHangs != nil && w.site.startHangs(job)
+	hangs, answer := w.site.startHangs != nil && w.site.startHangs(job), w.site.startAnswer
 	w.site.mu.Unlock()
 	if hangs {
-		<-ctx.Done()
-		return pv.StartUnknown, ctx.Err()
+		var answered <-chan time.Time
+		if answer != "" {
+			answered = time.After(startAnswerDelay)
+		}
+		select {
+		case <-answered:
+			return answer, nil
+		case <-ctx.Done():
+			return pv.StartUnknown, ctx.Err()
+		}
 	}
 	return w.WorkerClient.Start(ctx, id, a, o)
 }
