Supervisor: tests of results of former calls and polls

Two checks that no test missed: results of calls to, and polls of, a former run or incarnation, and runs that a worker lists without orders. The test of a replaced run, which passed without the check, gives way to one that doesn't.

--- a/supervisor/calls_paths_test.go
+++ b/supervisor/calls_paths_test.go
@@ -209,36 +209,72 @@
 	})
 }
 
-// The result of a start call was taken for that of a later run of the same reference, whose
-// own call was in progress: the run was then reported as absent.
-func TestResultOfCallOfReplacedRun(t *testing.T) {
+// The result of a start call was applied to a later run of the same reference, or to a run
+// on the worker's next incarnation.
+func TestResultOfFormerCall(t *testing.T) {
+	r := testRuns("j", 1)[0]
+	for name, call := range map[string]func(v *Supervisor) call{
+		"of a replaced run": func(v *Supervisor) call {
+			return call{kind: kindStart, run: &run{order: pv.RunOrder{Run: r}}, order: pv.RunOrder{Run: r}, incarnation: v.state.Incarnation}
+		},
+		"to a former incarnation": func(v *Supervisor) call {
+			return call{kind: kindStart, run: v.runs[r], order: pv.RunOrder{Run: r}, incarnation: v.state.Incarnation - 1}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newCallHarness(t)
+				defer h.stop()
+				v := h.supervisor
+				v.eventLoop.Do(func() {
+					v.runs[r] = &run{order: pv.RunOrder{Run: r}, startsInProgress: 1}
+					v.handleStart(call(v), pv.StartStaleAttempt, nil)
+					if got := v.runs[r]; got.phase != starting || got.startsInProgress != 1 {
+						t.Errorf("got phase %d with %d starts in progress, want %d with 1", got.phase, got.startsInProgress, starting)
+					}
+					v.forgetRun(r)
+				})
+			})
+		})
+	}
+}
+
+// The result of a poll of the worker's former incarnation was applied to the next one: it
+// counted as failing, or as answering.
+func TestResultOfPollOfFormerIncarnation(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		v := h.supervisor
+		v.eventLoop.Do(func() {
+			polledAt := v.polledAt
+			former := pollRequest{worker: "w", incarnation: v.state.Incarnation - 1, number: v.pollNumber + 1}
+			v.handlePoll(former, pv.WorkerRuns{}, errUnanswered)
+			if v.pollFailing || v.unverified() {
+				t.Error("got the worker as not answering, want it as answering")
+			}
+			time.Sleep(time.Millisecond)
+			v.handlePoll(former, pv.WorkerRuns{Incarnation: v.state.Incarnation}, nil)
+			if got := v.polledAt; got != polledAt {
+				t.Errorf("got the last answer at %v, want at %v", got, polledAt)
+			}
+		})
+	})
+}
+
+// A run that the worker lists, and that full orders didn't have, went on for as long as it
+// lasted: its job may have been cancelled.
+func TestListedRunWithoutOrdersIsStopped(t *testing.T) {
 	pipenet.Bubble(t, func(t *testing.T) {
 		h := newCallHarness(t)
 		defer h.stop()
 		r := testRuns("j", 1)[0]
-		first, second := make(chan struct{}), make(chan struct{})
-		hold := func(c chan struct{}) {
-			h.worker.mu.Lock()
-			defer h.worker.mu.Unlock()
-			h.worker.held[r] = c
-		}
-		hold(first)
-		h.send(false, startsOf([]pv.RunRef{r}))
-		time.Sleep(50 * time.Millisecond)
-		h.supervisor.eventLoop.Do(func() { h.supervisor.forgetRun(r) })
-		hold(second)
-		h.send(true, []pv.RunOrder{{Run: r}})
-		time.Sleep(50 * time.Millisecond)
-		close(first)
-		h.send(false, nil, r)
-		h.renew(3 * time.Second)
-		if !h.absentAt(r).IsZero() {
-			t.Error("got the run reported absent while its start is in progress, want it reported later")
-		}
-		close(second)
+		h.worker.mu.Lock()
+		h.worker.running[r] = true
+		h.worker.mu.Unlock()
 		h.renew(2 * time.Second)
-		if h.absentAt(r).IsZero() {
-			t.Error("got the run not reported absent after its start has ended, want it reported")
+		if got := len(h.worker.callsOf(stopCall)); got == 0 {
+			t.Errorf("got no stop of %v, want one", r)
 		}
 	})
 }
