--- a/supervisor/calls_test.go
+++ b/supervisor/calls_test.go
@@ -43,6 +43,7 @@
 	startCall    = "start"
 	stopCall     = "stop"
 	cpuLimitCall = "CPU limit"
+	pollCall     = "poll"
 )
 
 var errUnanswered = errors.New("no answer")
@@ -64,6 +65,7 @@
 
 	mu              sync.Mutex
 	incarnation     int64
+	broken          func(kind string) bool                           // calls that fail at once, without effect; nil is none
 	pollAnswerDelay time.Duration                                    // from a poll's reading of the clock until its answer arrives
 	unanswered      func(kind string, r pv.RunRef, earlier int) bool // earlier is the number of earlier calls of this kind for the run
 	held            map[pv.RunRef]chan struct{}                      // runs whose start calls return once the channel is closed, also if their context has ended
@@ -76,6 +78,12 @@
 
 func (w *callWorker) Poll(ctx context.Context, _ pv.WorkerID, l pv.WorkerLease, _ int64, wait time.Duration) (pv.WorkerRuns, error) {
 	p := workerCall{beganAt: time.Now(), lease: l, answered: true}
+	w.mu.Lock()
+	broken := w.broken != nil && w.broken(pollCall)
+	w.mu.Unlock()
+	if broken {
+		return pv.WorkerRuns{}, errUnanswered
+	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -84,6 +92,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	out := pv.WorkerRuns{Incarnation: w.incarnation, Clock: time.Since(w.startedAt)}
+	p.endedAt = time.Now()
+	w.polls = append(w.polls, p)
+	for r := range w.running {
+		s := pv.RunStatus{Run: r}
+		if w.serving[r] {
+			s.Measured, s.ProgressPercent = 100, 100
+		}
+		out.Running = append(out.Running, s)
+	}
 	if delay := w.pollAnswerDelay; delay > 0 {
 		w.mu.Unlock()
 		select {
@@ -95,15 +112,6 @@
 			return pv.WorkerRuns{}, ctx.Err()
 		}
 	}
-	p.endedAt = time.Now()
-	w.polls = append(w.polls, p)
-	for r := range w.running {
-		s := pv.RunStatus{Run: r}
-		if w.serving[r] {
-			s.Measured, s.ProgressPercent = 100, 100
-		}
-		out.Running = append(out.Running, s)
-	}
 	return out, nil
 }
 
@@ -121,6 +129,9 @@
 	c := &workerCall{kind: kind, run: r, lease: l, beganAt: time.Now()}
 	w.calls = append(w.calls, c)
 	defer func() { c.endedAt = time.Now() }()
+	if w.broken != nil && w.broken(kind) {
+		return errUnanswered
+	}
 	held := w.held[r]
 	if held != nil && kind == startCall {
 		w.mu.Unlock()
