Supervisor: of equal readings of the worker's clock the first counts

Cause: of two readings that are equal in milliseconds, the one received later counted, so that orders that name it looked younger by the delay of a poll result.

Evidence: TestAgeOfOrdersCountsFromFirstOfEqualReadings. Before: 1.2 s too young. After: exact.

Fix: a reading that is known already isn't added again. Readings are kept for as long as orders that name them may permit a start and a poll in progress may return them; orders are matched with exactly the reading that they name.

--- a/supervisor/clock.go
+++ b/supervisor/clock.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-// clockReadingRetention is how long readings are kept; orders that name an older one permit
-// nothing any more.
-const clockReadingRetention = 4 * time.Second
+// clockReadingRetention is how long readings are kept. Orders that name an older one permit
+// nothing any more, and no poll that is still in progress can return it again.
+const clockReadingRetention = startPermission + pollWait + pollMargin
 
 // clockReadings are the readings of the worker's clock that arrived with poll results in the
 // last clockReadingRetention, in order.
@@ -22,17 +22,19 @@
 	receivedAt time.Time
 }
 
-// add adds a reading that has just arrived.
+// add adds a reading that has just arrived. Of equal ones the first is kept.
 func (r *clockReadings) add(now time.Time, clock time.Duration) {
+	clock = clock.Truncate(time.Millisecond) // orders name it in milliseconds
 	*r = slices.DeleteFunc(*r, func(o clockReading) bool { return now.Sub(o.receivedAt) > clockReadingRetention })
-	*r = append(*r, clockReading{clock.Truncate(time.Millisecond), now}) // orders name it in milliseconds
+	if _, ok := r.arrival(clock); !ok {
+		*r = append(*r, clockReading{clock, now})
+	}
 }
 
-// receivedAt returns when the newest reading that isn't later than the given one was
-// received. It returns false if none is kept.
-func (r clockReadings) receivedAt(clock time.Duration) (time.Time, bool) {
-	for _, o := range slices.Backward(r) {
-		if o.clock <= clock {
+// arrival returns when a reading was received. It returns false if it isn't known.
+func (r clockReadings) arrival(clock time.Duration) (time.Time, bool) {
+	for _, o := range r {
+		if o.clock == clock {
 			return o.receivedAt, true
 		}
 	}
--- a/supervisor/clock_test.go
+++ b/supervisor/clock_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// The age of orders was wrong by the delay of another reading than the one that they name, and
+// Orders looked younger than they are by the delay of another reading than theirs, or older
 // beside a clock that runs slow.
 func TestClockReadingsUnderDriftAndDelay(t *testing.T) {
 	const interval = 500 * time.Millisecond // between two readings
@@ -25,7 +25,7 @@
 			readings.add(now, clock)
 			clocks, arrivals = append(clocks, clock.Truncate(time.Millisecond)), append(arrivals, now)
 			for named := max(0, i-12); named <= i; named++ {
-				got, ok := readings.receivedAt(clocks[named])
+				got, ok := readings.arrival(clocks[named])
 				kept := now.Sub(arrivals[named]) <= clockReadingRetention
 				if ok != kept || ok && !got.Equal(arrivals[named]) {
 					t.Fatalf("rate %v, reading %d of %d: got %v, %t, want %v, %t", rate, named, i, got, ok, arrivals[named], kept)
@@ -34,3 +34,17 @@
 		}
 	}
 }
+
+// Orders looked younger than they are, by the delay of a later poll result: it had the same
+// reading of the worker's clock, in milliseconds, as the one that the orders name.
+func TestAgeOfOrdersCountsFromFirstOfEqualReadings(t *testing.T) {
+	first := time.Unix(0, 0)
+	const clock, delay = 10 * time.Second, 1200 * time.Millisecond
+	var readings clockReadings
+	readings.add(first, clock)
+	readings.add(first.Add(delay), clock) // the worker answered 0.3 ms later, the network 1.2 s later
+	got, ok := readings.arrival(clock)
+	if !ok || !got.Equal(first) {
+		t.Errorf("got a reading received after %v, %t, want it received after 0s", got.Sub(first), ok)
+	}
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -121,7 +121,7 @@
 func (v *Supervisor) permitStarts(now time.Time, clock time.Duration) {
 	from, ok := now, true
 	if clock > 0 {
-		from, ok = v.clockReadings.receivedAt(clock)
+		from, ok = v.clockReadings.arrival(clock)
 	}
 	if until := from.Add(startPermission); ok && until.After(v.startsPermittedUntil) {
 		v.startsPermittedUntil = until
