Leader: the read for a question about an unknown job ends at the inbox's present end

While records were appended to the inbox faster than the store answered reads, questions about unknown jobs got no answer.

Cause: that read ended only once a read returned no record. Cancellations of unknown jobs append records themselves, so a flood of them kept the reads from ending.

Evidence: TestUnknownJobIsAnsweredWhileInboxGrows.

Fix: the leader asks for the end of the inbox first and reads up to there: one call if there is nothing new.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/leader"
 	"persimmonvalve/planner"
+	"persimmonvalve/standin"
 )
 
 // cancellationLimit is the time after the acknowledgement of a cancellation after which no
@@ -436,3 +438,107 @@
 		}
 	})
 }
+
+// cancelUnknown cancels an unknown job at a gateway and checks the result.
+func (s *siteHarness) cancelUnknown(at *process, id pv.JobID) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	if got := at.gateway.Cancel(ctx, id).Result; got != gateway.UnknownJob {
+		s.t.Fatalf("got %s, want %s", got, gateway.UnknownJob)
+	}
+}
+
+// A question about an unknown job gets no answer while records are appended to the inbox faster
+// than the store answers reads: the leader reads on until a read returns none.
+func TestUnknownJobIsAnsweredWhileInboxGrows(t *testing.T) {
+	for _, c := range []struct{ storeDelay, appendInterval time.Duration }{
+		{0, 10 * time.Millisecond},
+		{40 * time.Millisecond, 20 * time.Millisecond},   // another region's leader
+		{250 * time.Millisecond, 100 * time.Millisecond}, // a slow store
+	} {
+		t.Run(fmt.Sprintf("store delay %v, an append each %v", c.storeDelay, c.appendInterval), func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				s := newSiteHarness(t, 1)
+				defer s.close()
+				s.waitForLeader()
+				time.Sleep(3 * time.Second)
+				leading := s.gateways[s.leaderIndex()]
+				s.store.SetFaults(standin.KeyedStoreFaults{Delay: c.storeDelay})
+				ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+				defer cancel()
+				go func() {
+					for i := 0; ctx.Err() == nil; i++ {
+						go func() {
+							record := leader.InboxCancelRecord(pv.JobID(fmt.Sprintf("%016x", i)))
+							_ = s.store.ClientFor("other").Put(ctx, leader.InboxTopic, []pv.KeyedRecord{record})
+						}()
+						time.Sleep(c.appendInterval)
+					}
+				}()
+				time.Sleep(2 * time.Second)
+				for range 3 {
+					callCtx, cancelCall := context.WithTimeout(context.Background(), callerTimeout)
+					a := leading.gateway.State(callCtx, "unknown")
+					cancelCall()
+					if a.Result != gateway.UnknownJob {
+						t.Errorf("got %s after %v, want %s", a.Result, a.Took, gateway.UnknownJob)
+					} else {
+						t.Logf("got %s after %v", a.Result, a.Took)
+					}
+				}
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Each cancellation of an unknown job made the leader read the inbox over and over, as long as
+// others came: their records, which it writes itself, kept its reads from ending.
+func TestConcurrentUnknownJobsCostFewReads(t *testing.T) {
+	const (
+		interval = 20 * time.Millisecond // between two cancellations
+		duration = 10 * time.Second
+		maxReads = 4 // for one question
+	)
+	for _, storeDelay := range []time.Duration{4 * time.Millisecond, 40 * time.Millisecond, 250 * time.Millisecond} { // near, in another region, slow
+		t.Run(storeDelay.String(), func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				s := newSiteHarness(t, 1)
+				defer s.close()
+				s.waitForLeader()
+				time.Sleep(3 * time.Second)
+				leading := s.gateways[s.leaderIndex()]
+				s.store.SetFaults(standin.KeyedStoreFaults{Delay: storeDelay})
+				var reads, answered atomic.Int64
+				s.mu.Lock()
+				s.storeCallHangs = func(process string, topic pv.Topic, appends bool) bool {
+					if process == leading.name && topic == leader.InboxTopic && !appends {
+						reads.Add(1)
+					}
+					return false
+				}
+				s.mu.Unlock()
+				const count = int(duration / interval)
+				var calls sync.WaitGroup
+				for i := range count {
+					calls.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+						defer cancel()
+						if leading.gateway.Cancel(ctx, pv.JobID(fmt.Sprintf("%016x", i))).Result == gateway.UnknownJob {
+							answered.Add(1)
+						}
+					})
+					time.Sleep(interval)
+				}
+				calls.Wait()
+				t.Logf("%d reads for %d cancellations, %d of them answered with %s", reads.Load(), count, answered.Load(), gateway.UnknownJob)
+				if got := reads.Load(); got > int64(maxReads*count) {
+					t.Errorf("got %d reads of the inbox for %d cancellations, want %d or fewer for each", got, count, maxReads)
+				}
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
--- a/leader/tail.go
+++ b/leader/tail.go
@@ -2,7 +2,8 @@
 
 // This file defines how a keyed topic is followed: a snapshot of the newest record of
 // each key, then the records appended after it. If records have been truncated before
-// they were read, a new snapshot is read.
+// they were read, a new snapshot is read. It also defines the read of what is new since an
+// offset.
 
 import (
 	"context"
@@ -19,7 +20,7 @@
 	records   []pv.KeyedRecord
 	snapshot  bool          // the records are the newest ones of all keys
 	startedAt time.Duration // clock reading at the start of the read
-	end       pv.Offset     // the read contains the effect of all records before it
+	end       pv.Offset     // this and the earlier reads reflect all records before it
 }
 
 // follow calls handle with a topic's records until the context ends. Each long poll waits
@@ -38,7 +39,7 @@
 			}
 			records = append(records, page.Records...)
 		}
-		handle(topicRead{records, true, startedAt, from})
+		handle(topicRead{records: records, snapshot: true, startedAt: startedAt, end: from})
 		for ctx.Err() == nil {
 			startedAt := clock()
 			callCtx, cancel := context.WithTimeout(ctx, wait+longPollMargin)
@@ -54,19 +55,23 @@
 				break
 			}
 			from = tail.End
-			handle(topicRead{tail.Records, false, startedAt, from})
+			handle(topicRead{records: tail.Records, startedAt: startedAt, end: from})
 		}
 	}
 }
 
-// readSince returns the records of a topic from an offset on, or the newest record of every
-// key if they have been truncated or the offset is 0.
+// readSince returns the records of a topic from an offset up to its present end, or the
+// newest record of every key if they have been truncated or the offset is 0.
 func readSince(ctx context.Context, store pv.Store, topic pv.Topic, from pv.Offset) ([]pv.KeyedRecord, error) {
 	if from == 0 {
 		return readAll(ctx, store, topic)
 	}
+	page, err := readPage(ctx, store, topic, afterAllKeys)
+	if err != nil {
+		return nil, err
+	}
 	var out []pv.KeyedRecord
-	for {
+	for from < page.End { // one read returns a limited number of bytes
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		tail, err := store.Tail(callCtx, topic, from, 0)
 		cancel()
@@ -75,12 +80,11 @@
 			if err := waitToRetry(ctx, err); err != nil {
 				return nil, err
 			}
-		case tail.Truncated:
+		case tail.Truncated || tail.End <= from:
 			return readAll(ctx, store, topic)
-		case len(tail.Records) == 0:
-			return out, nil
-		default: // one read returns a limited number of bytes
+		default:
 			out, from = append(out, tail.Records...), tail.End
 		}
 	}
+	return out, nil
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -49,7 +49,7 @@
 
 	inboxEnd             pv.Offset            // before which all records of the inbox have been applied; 0 before the first read
 	inboxReadStartedAt   time.Duration        // Dependencies.Clock at the start of the last read of the inbox whose cancellations are stored
-	uncommittedInboxRead *time.Duration       // the same of the last read that waits for the next commit of cancellations; nil if none does
+	uncommittedInboxRead *time.Duration       // start of the last read that counts with the next commit of a cancellation; nil if none waits
 	keptCancellations    map[string]time.Time // keys of the inbox's cancellations of unknown jobs, with the time since when they are kept
 
 	committing      bool
