Leader: a cancellation repeated in the inbox is kept from then on

A job ran 4 s after the acknowledged repeat of its cancellation.

Cause: only repeats over a link started the time anew for which cancellations of unknown jobs are kept; those that a gateway writes to the inbox didn't.

Evidence: TestRepeatedCancellationInInboxIsKept. Before: the job is started. After: it isn't.

Fix: one function keeps a cancellation in the planner and in the list of the inbox's records, for both ways.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -542,3 +542,29 @@
 		})
 	}
 }
+
+// A job ran 4 s after the acknowledged repeat of its cancellation: a repeat that a gateway writes
+// to the inbox doesn't extend the time for which the first one is kept.
+func TestRepeatedCancellationInInboxIsKept(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		s := newSiteHarness(t, 1)
+		defer s.close()
+		s.waitForLeader()
+		time.Sleep(3 * time.Second)
+		job := testJob(1, rand.New(rand.NewPCG(1, 1)))
+		put := func() { // as a gateway without a link to the leader does
+			if err := s.store.ClientFor("other").Put(context.Background(), leader.InboxTopic, []pv.KeyedRecord{leader.InboxCancelRecord(job.ID)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put()
+		time.Sleep(planner.DefaultSettings().EndedRetention - time.Second)
+		put()
+		time.Sleep(4 * time.Second)
+		s.submitUntilAccepted(job)
+		time.Sleep(5 * time.Second)
+		if s.runAudit.JobStarted(job.ID) {
+			t.Errorf("got a start of the job 4 s after its cancellation, want none after %v", cancellationLimit)
+		}
+	})
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -72,10 +72,9 @@
 	})
 }
 
-// noteInboxRead records a completed read of the inbox. A read that has cancelled a job
-// counts once the cancellation is stored: the job's stops are sent then, and no orders may
-// permit starts before. Later reads wait for the same commit, unless they have cancelled
-// jobs themselves.
+// noteInboxRead records a completed read of the inbox. A read that has cancelled a job counts
+// once the cancellation is stored: the job's stops are sent then, and no orders may permit
+// starts before. A read that has cancelled none counts together with the last one that has.
 func (t *term) noteInboxRead(startedAt time.Duration, cancelled bool) {
 	if cancelled {
 		latest := new(time.Duration)
@@ -124,9 +123,8 @@
 			cancelled = true
 			tombstones = append(tombstones, pv.KeyedRecord{Key: r.Key})
 			delete(t.keptCancellations, r.Key)
-		} else if _, kept := t.keptCancellations[r.Key]; !kept {
-			t.planner.CancelAhead(now, pv.JobID(id))
-			t.keptCancellations[r.Key] = now
+		} else {
+			t.keepCancellation(now, pv.JobID(id))
 		}
 	}
 	if len(tombstones) > 0 {
@@ -135,16 +133,24 @@
 	return cancelled
 }
 
+// keepCancellation keeps the cancellation of an unknown job, whose record the inbox has, for
+// as long as ended jobs are kept.
+func (t *term) keepCancellation(now time.Time, id pv.JobID) {
+	t.planner.CancelAhead(now, id)
+	t.keptCancellations[InboxCancelRecord(id).Key] = now
+}
+
 // storeCancellation writes the cancellation of an unknown job to the inbox, where later
 // leaders read it too, and then calls stored. If the write fails, nobody is answered: the
 // gateway then writes the record itself.
-func (t *term) storeCancellation(id pv.JobID, stored func()) {
+func (t *term) storeCancellation(now time.Time, id pv.JobID, stored func()) {
 	record := InboxCancelRecord(id)
 	if _, kept := t.keptCancellations[record.Key]; kept {
-		t.keptCancellations[record.Key] = time.Now()
+		t.keepCancellation(now, id)
 		stored()
 		return
 	}
+	t.planner.CancelAhead(now, id)
 	go func() {
 		callCtx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
 		defer cancel()
@@ -201,7 +207,7 @@
 			return // the term has ended
 		}
 		t.post(func(now time.Time) {
-			t.applyInbox(ctx, now, records)
+			t.applyInbox(ctx, now, records) // followInbox reads the same records, and notes the read
 			t.afterCommit = append(t.afterCommit, answer)
 		})
 	}()
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -193,9 +193,9 @@
 			t.afterCommit = append(t.afterCommit, replyVerdict(VerdictDone))
 		default:
 			t.answerAfterBarrierRead(func() {
-				if !t.planner.Cancel(time.Now(), id) {
-					t.planner.CancelAhead(time.Now(), id)
-					t.storeCancellation(id, replyVerdict(VerdictUnknownJob))
+				now := time.Now()
+				if !t.planner.Cancel(now, id) {
+					t.storeCancellation(now, id, replyVerdict(VerdictUnknownJob))
 					return
 				}
 				t.afterCommit = append(t.afterCommit, replyVerdict(VerdictDone))
