Leader: a late tombstone doesn't remove a repeated cancellation

What callers saw: nothing; found in review. A job ran under the next leader 8 s after the answered repeat of its cancellation.

Cause: when the time ends for which a cancellation of an unknown job is kept, a tombstone is written over its record, with retries. A repeat that is answered meanwhile writes the record again, and the tombstone removes it.

Evidence: TestLateTombstoneKeepsNewCancellation, the tombstone's write gets no answer for 1.2 s. Before: the record is gone and the job is started. After: the record stays and the job isn't started.

Fix: once the tombstones are written, the leader writes the records again of cancellations that have been repeated.

--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -568,3 +568,40 @@
 		}
 	})
 }
+
+// A job ran under the next leader, 8 s after the answered repeat of its cancellation: the
+// tombstone of the first record was written late and removed the record of the repeat.
+func TestLateTombstoneKeepsNewCancellation(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		s := newSiteHarness(t, 1)
+		defer s.close()
+		s.waitForLeader()
+		time.Sleep(3 * time.Second)
+		leading := s.gateways[s.leaderIndex()]
+		job := testJob(1, rand.New(rand.NewPCG(1, 1)))
+		s.mu.Lock()
+		s.jobs[job.ID] = job
+		s.mu.Unlock()
+		s.cancelUnknown(leading, job.ID)
+		time.Sleep(planner.DefaultSettings().EndedRetention - 500*time.Millisecond)
+		appendsHangUntil := time.Now().Add(1200 * time.Millisecond)
+		s.mu.Lock()
+		s.storeCallHangs = func(process string, topic pv.Topic, appends bool) bool {
+			return process == leading.name && topic == leader.InboxTopic && appends && time.Now().Before(appendsHangUntil)
+		}
+		s.mu.Unlock()
+		time.Sleep(1300 * time.Millisecond) // the tombstone is being written, without an answer
+		s.cancelUnknown(leading, job.ID)
+		time.Sleep(4 * time.Second)
+		if s.store.NewestValue(leader.InboxTopic, leader.InboxCancelRecord(job.ID).Key) == nil {
+			t.Error("got no record of the cancellation in the inbox, want it kept")
+		}
+		s.replaceGateway(s.leaderIndex())
+		time.Sleep(4 * time.Second)
+		s.submitUntilAccepted(job)
+		time.Sleep(5 * time.Second)
+		if s.runAudit.JobStarted(job.ID) {
+			t.Errorf("got a start of the job 8 s after its cancellation, want none after %v", cancellationLimit)
+		}
+	})
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -128,7 +128,7 @@
 		}
 	}
 	if len(tombstones) > 0 {
-		t.afterCommit = append(t.afterCommit, func() { t.writeTombstones(ctx, tombstones) })
+		t.afterCommit = append(t.afterCommit, func() { t.writeInbox(ctx, tombstones, nil) })
 	}
 	return cancelled
 }
@@ -173,22 +173,39 @@
 		}
 	}
 	if len(tombstones) > 0 {
-		t.writeTombstones(t.ctx, tombstones)
+		t.writeInbox(t.ctx, tombstones, func() { t.rewriteCancellations(tombstones) })
 	}
 }
 
-// writeTombstones starts writing tombstones to the inbox, with retries until the term
-// ends.
-func (t *term) writeTombstones(ctx context.Context, tombstones []pv.KeyedRecord) {
+// rewriteCancellations writes the records of cancellations again that have been repeated while
+// tombstones were written over them.
+func (t *term) rewriteCancellations(tombstones []pv.KeyedRecord) {
+	var records []pv.KeyedRecord
+	for _, r := range tombstones {
+		if _, kept := t.keptCancellations[r.Key]; kept {
+			records = append(records, InboxCancelRecord(pv.JobID(strings.TrimPrefix(r.Key, inboxCancelPrefix))))
+		}
+	}
+	if len(records) > 0 {
+		t.writeInbox(t.ctx, records, nil)
+	}
+}
+
+// writeInbox starts writing records to the inbox, with retries until the term ends, and then
+// calls written on the event loop, if it isn't nil.
+func (t *term) writeInbox(ctx context.Context, records []pv.KeyedRecord, written func()) {
 	go func() {
 		for ctx.Err() == nil {
 			callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-			err := t.leader.deps.Store.Put(callCtx, InboxTopic, tombstones)
+			err := t.leader.deps.Store.Put(callCtx, InboxTopic, records)
 			cancel()
 			if err == nil {
+				if written != nil {
+					t.post(func(time.Time) { written() })
+				}
 				return
 			}
-			t.logger.Warn("leader: writing tombstones to the inbox failed; retrying", logfield.Error(err), zap.Int("records", len(tombstones)))
+			t.logger.Warn("leader: writing to the inbox failed; retrying", logfield.Error(err), zap.Int("records", len(records)))
 			if waitToRetry(ctx, err) != nil {
 				return
 			}
