--- a/gateway/cancellation_paths_test.go
+++ b/gateway/cancellation_paths_test.go
@@ -384,6 +384,20 @@
 	}
 }
 
+// A new leader that can't read the inbox knows of no cancellation there, and starts nothing.
+func TestNoStartBeforeFirstReadOfInbox(t *testing.T) {
+	checkCancellation(t, 1, pv.StartLeaseExpired, func(s *siteHarness) (*process, func(), func()) {
+		s.delayLinks()
+		former := s.newestLeader()
+		undo := s.inject(injection{storeHangs: func(_ string, topic pv.Topic, appends bool) bool {
+			return topic == leader.InboxTopic && !appends
+		}})
+		leaderKilled(s, nil)
+		time.Sleep(20 * time.Millisecond)
+		return s.gatewayOtherThan(former), nil, undo
+	})
+}
+
 // leaderChanges are the changes between the cancellation of an unknown job and its late
 // submission.
 var leaderChanges = map[string]func(s *siteHarness){
