--- a/gateway/late_cancellation_test.go
+++ b/gateway/late_cancellation_test.go
@@ -42,6 +42,16 @@
 	other()
 }
 
+// checkStarted reports a job of which no start call has begun.
+func (s *siteHarness) checkStarted(id pv.JobID) {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastStart[id].IsZero() {
+		s.t.Errorf("got no start of job %s before its cancellation, want some", id)
+	}
+}
+
 // Starts were sent 3.5 s after an acknowledged cancellation: the read of the inbox that brought
 // it, after others had failed, permitted starts again before the job's stops were sent.
 func TestLateReadCancellationPermitsNoStart(t *testing.T) {
@@ -68,6 +78,7 @@
 					s.mu.Unlock()
 					s.submitUntilAccepted(job)
 					time.Sleep(300*time.Millisecond + offset)
+					s.checkStarted(job.ID)
 					linked := s.leaderIndex()
 					leading := s.gateways[linked]
 					cutOff := s.gateways[(linked+1)%gatewayCount]
@@ -193,6 +204,7 @@
 					s.mu.Unlock()
 					s.submitUntilAccepted(job)
 					time.Sleep(300 * time.Millisecond)
+					s.checkStarted(job.ID)
 					for _, p := range s.supervisors {
 						s.network.Isolate(p.name, true)
 					}
@@ -244,6 +256,9 @@
 				})
 			}
 			t.Logf("%d rounds, %d with a start after the cancellation, up to %v", rounds, opened, latest)
+			if linkDelay == 0 && opened == 0 {
+				t.Error("got no start after the cancellation on links without a delay, want some within the limit")
+			}
 			if late > 0 {
 				t.Errorf("got a start call up to %v after the confirmed cancellation in %d of %d rounds, want none after %v", latest, late, rounds, cancellationLimit)
 			}
@@ -328,6 +343,7 @@
 					s.mu.Unlock()
 					s.submitUntilAccepted(job)
 					time.Sleep(300 * time.Millisecond)
+					s.checkStarted(job.ID)
 					leading := s.gateways[s.leaderIndex()]
 					var cutOff *process
 					for _, p := range s.gateways {
