--- a/supervisor/orders_age_test.go
+++ b/supervisor/orders_age_test.go
@@ -193,3 +193,43 @@
 		})
 	}
 }
+
+// When the polls of a worker become slow, runs start up to 3.6 s late: readings of the clock from
+// quick polls before make orders look older than they can be, for 4 s.
+func TestPollsThatBecomeSlowHoldUpNoStarts(t *testing.T) {
+	const renewalInterval = 400 * time.Millisecond
+	for _, slow := range []time.Duration{0, 600 * time.Millisecond, 700 * time.Millisecond, 800 * time.Millisecond, 950 * time.Millisecond} {
+		t.Run(slow.String(), func(t *testing.T) {
+			var latest, sum time.Duration
+			rounds := 0
+			for phase := time.Duration(0); phase < 2*time.Second; phase += 100 * time.Millisecond {
+				pipenet.Bubble(t, func(t *testing.T) {
+					h := newCallHarness(t)
+					defer h.stop()
+					h.renew(5 * time.Second)
+					time.Sleep(phase % renewalInterval)
+					h.worker.mu.Lock()
+					h.worker.pollAnswerDelay = slow
+					h.worker.mu.Unlock()
+					h.renew(1200*time.Millisecond + phase)
+					starts := startsOf(testRuns("k", 1))
+					starts[0].FirstSend = false
+					orderedAt := time.Now()
+					h.send(false, starts)
+					time.Sleep(renewalInterval)
+					h.renew(8 * time.Second)
+					calls := h.worker.callsOf(startCall)
+					if len(calls) == 0 {
+						t.Fatal("got no start within 8 s, want one")
+					}
+					rounds++
+					latest, sum = max(latest, calls[0].beganAt.Sub(orderedAt)), sum+calls[0].beganAt.Sub(orderedAt)
+				})
+			}
+			t.Logf("%d rounds, mean %v, latest %v", rounds, sum/time.Duration(rounds), latest)
+			if limit := time.Second; latest > limit {
+				t.Errorf("got a start up to %v after its order, want each within %v", latest, limit)
+			}
+		})
+	}
+}
