--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -102,3 +102,58 @@
 		}
 	}
 }
+
+// newFarProxy returns the address of a proxy that delays all bytes by the time that they
+// take to another region, each way.
+func newFarProxy(target string, delay time.Duration) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("proxy: %v", err)
+	}
+	type chunk struct {
+		at   time.Time
+		data []byte
+	}
+	pass := func(to, from net.Conn) {
+		queue := make(chan chunk, 1024)
+		go func() {
+			for c := range queue {
+				time.Sleep(time.Until(c.at))
+				if _, err := to.Write(c.data); err != nil {
+					break
+				}
+			}
+			to.Close()
+			for range queue { // the sender's end is closed below
+			}
+		}()
+		for {
+			buffer := make([]byte, 16<<10)
+			n, err := from.Read(buffer)
+			if n > 0 {
+				queue <- chunk{time.Now().Add(delay), buffer[:n]}
+			}
+			if err != nil {
+				close(queue)
+				from.Close()
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				conn.Close()
+				continue
+			}
+			go pass(out, conn)
+			go pass(conn, out)
+		}
+	}()
+	return l.Addr().String()
+}
