supervisor: a late deregistration doesn't end the worker's next incarnation

Four tasks ran on two workers at the same time for 0.8 s, and the worker got no task any more.

Cause: the handler didn't read the body of a deregistration, which names the incarnation, and the supervisor took each one for the present incarnation's. The planner ends the runs of an incarnation that has deregistered without waiting for its lease.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -128,9 +128,9 @@
 		w := s.workers[i]
 		w.SetDraining(true)
 		time.Sleep(500 * time.Millisecond)
-		id := w.ID()
+		state, _ := w.Heartbeat()
 		w.Crash()
-		s.supervisors[i].deregister(id)
+		s.supervisors[i].deregister(pv.Deregistration{Worker: state.ID, Incarnation: state.Incarnation})
 		time.Sleep(300 * time.Millisecond)
 		s.kill(s.supervisors[i])
 		s.replaceGateway(s.leaderIndex())
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -45,7 +45,7 @@
 	stop       func(context.Context) error
 	gateway    *gateway.Gateway
 	leader     *leader.Leader
-	deregister func(pv.WorkerID) // passes a worker's deregistration to its supervisor
+	deregister func(pv.Deregistration) // passes a worker's deregistration to its supervisor
 }
 
 // siteHarness is a site in memory with its callers' answers.
--- a/job.go
+++ b/job.go
@@ -257,7 +257,7 @@
 // incarnation is running any more.
 type Deregistration struct {
 	Worker      WorkerID `json:"worker"`
-	Incarnation int64    `json:"life"` // Unix milliseconds of the worker's start
+	Incarnation int64    `json:"life"` // Unix milliseconds of the worker's start; 0 if it isn't known
 }
 
 // WorkerRuns lists the runs of a worker; it is the answer to a poll.
--- a/supervisor/calls_test.go
+++ b/supervisor/calls_test.go
@@ -814,7 +814,7 @@
 		h.worker.setUnanswered(unansweredStarts("j"))
 		h.send(false, startsOf(testRuns("j", manyRuns)))
 		time.Sleep(100 * time.Millisecond)
-		h.supervisor.Deregister("w")
+		h.supervisor.Deregister(pv.Deregistration{Worker: "w", Incarnation: 1})
 		synctest.Wait()
 		deregisteredAt, sent := time.Now(), len(h.worker.callsOf(startCall))
 		time.Sleep(10 * time.Second)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -178,23 +178,38 @@
 	}
 }
 
-// Deregister handles the worker's deregistration.
-func (v *Supervisor) Deregister(id pv.WorkerID) {
+// Deregister handles a deregistration of the worker. A late one of a former incarnation
+// under the same id is ignored.
+func (v *Supervisor) Deregister(d pv.Deregistration) {
 	v.eventLoop.Post(func() {
-		if v.state.ID != id || v.deregistered {
+		if v.state.ID != d.Worker || v.deregistered {
+			return
+		}
+		if !v.deregisters(d) {
+			v.logger.Info("supervisor: deregistration ignored: not of the present incarnation", zap.String("worker", string(d.Worker)), zap.Int64("life", v.state.Incarnation), zap.Int64("deregisteredLife", d.Incarnation))
 			return
 		}
 		v.deregistered, v.stateUnsent = true, true
-		v.logger.Info("supervisor: worker departed", zap.String("worker", string(id)), zap.Int64("life", v.state.Incarnation))
+		v.logger.Info("supervisor: worker departed", zap.String("worker", string(d.Worker)), zap.Int64("life", v.state.Incarnation))
 		v.sendState()
 		select {
-		case v.deregistrations <- pv.Deregistration{Worker: id, Incarnation: v.state.Incarnation}:
+		case v.deregistrations <- pv.Deregistration{Worker: d.Worker, Incarnation: v.state.Incarnation}:
 		default:
-			v.logger.Warn("supervisor: deregistration not passed to the directory: queue full", zap.String("worker", string(id)))
+			v.logger.Warn("supervisor: deregistration not passed to the directory: queue full", zap.String("worker", string(d.Worker)))
 		}
 	})
 }
 
+// deregisters reports whether a deregistration of the worker's id is of the present
+// incarnation. One that names no incarnation is, if this incarnation drains: a worker
+// drains before it deregisters.
+func (v *Supervisor) deregisters(d pv.Deregistration) bool {
+	if d.Incarnation == 0 {
+		return v.state.Draining
+	}
+	return d.Incarnation == v.state.Incarnation
+}
+
 // Deregistrations returns the channel on which workers' deregistrations are sent.
 func (v *Supervisor) Deregistrations() <-chan pv.Deregistration { return v.deregistrations }
 
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -255,7 +255,7 @@
 	pipenet.Bubble(t, func(t *testing.T) {
 		h := newHarness(t)
 		defer h.stop()
-		h.supervisor.Deregister("w")
+		h.supervisor.Deregister(pv.Deregistration{Worker: "w", Incarnation: 1})
 		time.Sleep(50 * time.Millisecond)
 		h.supervisor.Heartbeat(pv.WorkerState{ID: "next", Service: "s", Incarnation: 2, Sequence: 1, Capacity: pv.Resources{MilliCores: 1000}})
 		time.Sleep(50 * time.Millisecond)
