supervisor: an incarnation that a poll shows first starts without the former one's state

Its heartbeats were ignored for 6 s, since their numbers were below the former one's last. Until then the worker got no runs; a reported deregistration would have ended those that it had.

Cause: startIncarnation replaced the id, the incarnation and the capacity in the stored heartbeat and kept the rest.

TestPollShowsNewIncarnation failed in both cases: draining true, deregistered true, and a capacity of 0 after the first heartbeat. Now nothing that the former incarnation has said is kept.

--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -59,3 +59,34 @@
 		})
 	}
 }
+
+// A restart that a poll showed first left the new incarnation with what the former one had
+// said: that it drains or has deregistered, and a heartbeat number above those of the new one.
+func TestPollShowsNewIncarnation(t *testing.T) {
+	for name, deregister := range map[string]bool{"former one drained": false, "former one deregistered during the poll": true} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				h.sendOrders(10, 1, 5000, 0, true)
+				h.supervisor.Heartbeat(heartbeat(1, 50, true))
+				time.Sleep(time.Second)
+				h.worker.mu.Lock()
+				h.worker.runs.Incarnation = 2
+				h.worker.mu.Unlock()
+				if deregister {
+					h.supervisor.Deregister(pv.Deregistration{Worker: "w", Incarnation: 1})
+				}
+				time.Sleep(time.Second)
+				if state, deregistered := h.lastReport(); state.Incarnation != 2 || state.Draining || deregistered {
+					t.Errorf("got incarnation %d, draining %v, deregistered %v, want 2, neither", state.Incarnation, state.Draining, deregistered)
+				}
+				h.supervisor.Heartbeat(heartbeat(2, 1, false))
+				time.Sleep(50 * time.Millisecond)
+				if state, _ := h.lastReport(); state.Capacity.MilliCores != 1000 {
+					t.Errorf("got a capacity of %d after the first heartbeat, want 1000", state.Capacity.MilliCores)
+				}
+			})
+		})
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -213,7 +213,7 @@
 // Deregistrations returns the channel on which workers' deregistrations are sent.
 func (v *Supervisor) Deregistrations() <-chan pv.Deregistration { return v.deregistrations }
 
-// startIncarnation drops the orders, the lease, the end numbers, the capacity and the
+// startIncarnation drops the orders, the lease, the end numbers, the heartbeats and the
 // throttler's state of the worker's former incarnation. What it had started last, if it
 // stopped answering, is kept for the next leader.
 func (v *Supervisor) startIncarnation(id pv.WorkerID, incarnation int64) {
@@ -229,8 +229,10 @@
 		v.crashedWorkers = v.crashedWorkers[max(0, len(v.crashedWorkers)-maxFormerWorkers):]
 	}
 	v.logger.Info("supervisor: new worker incarnation", zap.String("worker", string(id)), zap.Int64("life", incarnation), zap.Int64("formerLife", v.state.Incarnation))
-	v.state.ID, v.state.Incarnation = id, incarnation
-	v.state.Capacity, v.state.Labels = pv.Resources{}, nil // until its first heartbeat
+	// Nothing that the former incarnation has said holds for this one, whose first heartbeat
+	// may still come.
+	v.state = pv.WorkerState{ID: id, Incarnation: incarnation, Sequence: -1, Location: pv.Location{Region: v.settings.Region}, Address: v.settings.Worker}
+	v.deregistered = false
 	v.lowSequences, v.heldHeartbeat = lowSequences{}, nil
 	for ref := range v.runs {
 		v.forgetRun(ref)
