planner: a reported deregistration of a former incarnation keeps later runs

If the worker had started again under its id beside another supervisor, which hadn't reported yet, the leader took that deregistration for the worker's and ended the runs of its present incarnation after 0.5 s, while they went on.

The planner already refused such deregistrations from the directory; both paths now share the check. TestReportedDeregistrationOfFormerIncarnation failed: no run was left, one was wanted.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -515,6 +515,24 @@
 	}
 }
 
+// A supervisor reports the deregistrations of its former workers to each new leader. One of a
+// worker that had meanwhile started again, under the same id and beside another supervisor,
+// ended the runs of its present incarnation.
+func TestReportedDeregistrationOfFormerIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.reportPoll("w", 2, PollResult{})
+	h.sendOrders("w")
+	h.submit("j", stepWithTasks(1))
+	h.tickAndCommit()
+	h.sendOrders("w")
+	next := h.successor()
+	next.p.Report(next.now, Report{Worker: next.workerState("w", 1), Deregistered: true})
+	next.advance(time.Second)
+	if got := len(next.p.workers["w"].runs); got != 1 {
+		t.Errorf("got %d runs on the worker, want 1", got)
+	}
+}
+
 // The end of a stopped run names why it was stopped, for logs and metrics.
 func TestReasonOfStoppedRun(t *testing.T) {
 	h := newHarness(t)
--- a/planner/report.go
+++ b/planner/report.go
@@ -58,6 +58,9 @@
 	if r.Worker.Incarnation < w.state.Incarnation && w.stateKnown {
 		return // of an earlier incarnation
 	}
+	if r.Deregistered && w.hasRunsAfter(r.Worker.Incarnation) {
+		return // likewise; the present one hasn't reported to this leader yet
+	}
 	if r.Worker.Incarnation != w.state.Incarnation || !w.stateKnown {
 		w.startIncarnation(r.Worker.Incarnation, p.epoch)
 		w.orphanDeadline = now.Add(p.settings.OrphanTimeout)
@@ -99,16 +102,24 @@
 	if !ok || !w.deregisteredAt.IsZero() || w.stateKnown && w.state.Incarnation != d.Incarnation {
 		return
 	}
-	for _, r := range w.runs {
-		if r.incarnation > d.Incarnation {
-			return
-		}
+	if w.hasRunsAfter(d.Incarnation) {
+		return
 	}
 	w.deregisteredAt = now
 	w.markLeaving()
 	p.addEvent(Event{Kind: "worker departed", Worker: d.Worker, Incarnation: d.Incarnation, Reason: "leftInWriting"})
 }
 
+// hasRunsAfter reports whether the worker has runs of incarnations after the given one.
+func (w *worker) hasRunsAfter(incarnation int64) bool {
+	for _, r := range w.runs {
+		if r.incarnation > incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // markLeaving marks the runs of a worker that leaves as planned: its end is no crash.
 func (w *worker) markLeaving() {
 	for _, r := range w.runs {
