supervisor, planner: a run isn't absent while the worker's ends are truncated

Tasks that were done, and whose end was acknowledged later, ran again.

Cause: a worker lists its unacknowledged ends 500 at a time, and none is acknowledged during the outage. The supervisor took runs in neither list for vanished or, once stopped, absent. The planner drew the same conclusion about runs of a former incarnation from the first poll under a new token.

Now the worker client states whether the list of ends may be truncated, and both conclude only from a poll that lists all of them. The end of such a run is listed once the earlier ones are acknowledged, so nothing waits for longer than that.

TestRunBehindTruncatedEnds reported both runs absent without the supervisor's check, and TestFormerRunBehindTruncatedEnds ended a finished task's run as vanished without the planner's. TestMoreEndsThanAWorkerLists counted 2,380 starts of 1,440 tasks, now 1,440.

--- a/job.go
+++ b/job.go
@@ -265,7 +265,10 @@
 	Incarnation int64         // Unix milliseconds of the worker's start
 	Clock       time.Duration // reading of the worker's monotonic clock
 	Running     []RunStatus
-	Ended       []RunEnd // ends that have not been acknowledged
+	Ended       []RunEnd // ends that have not been acknowledged, lowest sequence numbers first
+	// EndsTruncated states that the worker may have further ends, which it lists once
+	// these are acknowledged. A run that isn't listed may then have ended.
+	EndsTruncated bool
 }
 
 // RunOrder is an order to a worker to start a run.
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -66,6 +66,7 @@
 		}),
 		Gone: mapSlice(r.Absent, encodeRun), EndsAfter: r.EndsAbove, Address: encodeAddress(w.Address),
 		Unanswered: r.Unanswered, RecentStarts: mapSlice(r.RecentStarts, encodeRun), Former: r.Former, UnlistedStarts: int32(r.Unlisted), BrokeOnStart: r.BrokeOnStart,
+		EndsTruncated: r.Runs.EndsTruncated,
 	}
 }
 
@@ -107,7 +108,7 @@
 		},
 		Deregistered: r.Departed, Polled: r.Looked, FencingToken: r.Token,
 		Runs: pv.WorkerRuns{
-			Incarnation: r.Life, Clock: milliseconds(r.ClockMs),
+			Incarnation: r.Life, Clock: milliseconds(r.ClockMs), EndsTruncated: r.EndsTruncated,
 			Running: mapSlice(r.Running, func(s *wire.RunStatus) pv.RunStatus {
 				return pv.RunStatus{Run: decodeRun(s.Run), Checkpoint: s.Checkpoint, ProgressPercent: int(s.Percent), Measured: s.Figure}
 			}),
--- a/planner/report.go
+++ b/planner/report.go
@@ -17,6 +17,8 @@
 	Ended   []pv.RunEnd // not acknowledged yet
 	// EndsAbove is the number above which Ended contains every unacknowledged end.
 	EndsAbove int64
+	// EndsTruncated states that the worker may have more ends than it has listed.
+	EndsTruncated bool
 }
 
 // Report is what a supervisor reports about its worker.
@@ -158,20 +160,21 @@
 		p.applyStatus(now, r, s)
 	}
 	p.learnFromPoll(w, poll.Running)
-	if w.fencingTokenConfirmed {
-		p.stopRunsOverCapacity(w, poll)
-		return
-	}
 	// The worker has answered under the new token, so it refuses starts of earlier
 	// incarnations and leaders. Runs of earlier incarnations that it didn't list have
-	// ended.
-	w.fencingTokenConfirmed = true
-	p.placementDue = true
-	if former := w.runsBefore(w.state.Incarnation); len(former) > 0 {
-		p.endCrashedRuns(now, w, former, "workerRestarted")
-	}
-	p.settleLapsedRuns(now, w)
-	p.endReplacedWorkers(now, w)
+	// ended; if it has listed all its ends, they were lost with their incarnation.
+	if !w.formerRunsEnded && !poll.EndsTruncated {
+		w.formerRunsEnded = true
+		if former := w.runsBefore(w.state.Incarnation); len(former) > 0 {
+			p.endCrashedRuns(now, w, former, "workerRestarted")
+		}
+		p.settleLapsedRuns(now, w)
+	}
+	if !w.fencingTokenConfirmed {
+		w.fencingTokenConfirmed = true
+		p.placementDue = true
+		p.endReplacedWorkers(now, w)
+	}
 	p.stopRunsOverCapacity(w, poll)
 }
 
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -28,6 +28,7 @@
 	incarnationCount      int64
 	fencingToken          int64
 	fencingTokenConfirmed bool          // this incarnation has answered a poll under fencingToken
+	formerRunsEnded       bool          // and then listed all of its ends, so that no run of an earlier incarnation goes on
 	clock                 time.Duration // reading in the last poll result
 	clockReceivedAt       time.Time
 	lastReportAt          time.Time     // with or without a poll result
@@ -77,7 +78,7 @@
 	}
 	w.fencingToken = epoch<<incarnationBits | w.incarnationCount
 	w.stateKnown = true
-	w.fencingTokenConfirmed = false
+	w.fencingTokenConfirmed, w.formerRunsEnded = false, false
 	w.clock, w.clockReceivedAt, w.leaseEnd = 0, time.Time{}, 0
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd = 0, 0, 0
 	w.unsentStarts, w.unsentStops, w.strayRuns = nil, nil, nil
--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -37,6 +37,9 @@
 	NewID    func() pv.WorkerID    // id of the worker after its return; nil keeps the id
 }
 
+// maxListedEnds is the most ends in one answer to a poll.
+const maxListedEnds = 500
+
 // defaultCrashDelay is the time from the start of a task to the crash that it causes.
 const defaultCrashDelay = 10 * time.Millisecond
 
@@ -428,7 +431,8 @@
 				return pv.WorkerRuns{}, errLost
 			}
 		}
-		out := pv.WorkerRuns{Incarnation: r.state.Incarnation, Clock: r.clock(), Ended: append([]pv.RunEnd(nil), r.unacknowledged...)}
+		out := pv.WorkerRuns{Incarnation: r.state.Incarnation, Clock: r.clock(), Ended: append([]pv.RunEnd(nil), r.unacknowledged[:min(len(r.unacknowledged), maxListedEnds)]...)}
+		out.EndsTruncated = len(out.Ended) == maxListedEnds
 		for ref, run := range r.runs {
 			out.Running = append(out.Running, pv.RunStatus{Run: ref, ProgressPercent: run.progressPercent()})
 		}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -2,8 +2,8 @@
 
 // This file defines the ordered runs. A run is kept until the worker lists its end. A
 // run that must not exist is stopped. Once the worker has confirmed the stop, no start
-// call of the run is in progress, and a poll that began later doesn't list it, the run
-// can't start any more and is reported as absent.
+// call of the run is in progress, and a poll that began later lists all unacknowledged
+// ends and doesn't list it, the run can't start any more and is reported as absent.
 
 import (
 	"context"
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -148,7 +148,7 @@
 		v.unverifiedSince, v.heldHeartbeat = 0, nil
 	}
 	out := messenger.Report{Worker: v.state, Deregistered: v.deregistered, Polled: true, FencingToken: q.lease.FencingToken}
-	out.Runs = pv.WorkerRuns{Incarnation: runs.Incarnation, Clock: runs.Clock}
+	out.Runs = pv.WorkerRuns{Incarnation: runs.Incarnation, Clock: runs.Clock, EndsTruncated: runs.EndsTruncated}
 	present := make(map[pv.RunRef]bool, len(runs.Running)+len(runs.Ended))
 	// Only a poll under the newest token may mark ends as reported: the leader
 	// ignores reports with other tokens.
@@ -179,7 +179,7 @@
 		}
 	}
 	for ref, r := range v.runs {
-		if present[ref] || q.number <= r.phasePoll {
+		if present[ref] || q.number <= r.phasePoll || runs.EndsTruncated {
 			continue
 		}
 		switch r.phase {
