leader, planner: what is known of a lost worker's lease outlives the leader

Cause: a leader without a poll result of a worker waits 9.4 s from the start of its own term, the longest time that a predecessor's renewal can last. What the predecessors knew, that they had renewed nothing since the loss, died with their terms.

Now a leader that hasn't heard from a worker with runs for 1 s stores a lease record: how long the lease can still last. No leader renews the lease until the record's removal is stored, so a successor may count that time from its own read, without comparing clocks. Claims state since which epoch all leaders abide by the records, because earlier versions don't. Without a record the wait counts from the last read of the jobs topic's end before the claim, if nobody has appended since, rather than from the end of the claim. The first report of a term no longer begins the wait anew for an incarnation that former leaders knew.

TestNoSecondRunWithinLease took its successor from a leader that had not heard from the worker for a whole lease; such a successor rightly waits no longer. It is now one of a leader that has just renewed the lease, with the same bound.

--- a/leader/claim.go
+++ b/leader/claim.go
@@ -15,6 +15,7 @@
 	"time"
 
 	pv "persimmonvalve"
+	"persimmonvalve/planner"
 )
 
 // leaderRecord is the value of a claim, and, with only the epoch, of a heartbeat.
@@ -22,6 +23,9 @@
 	Epoch         int64  `json:"epoch"`
 	Node          string `json:"node"`
 	IncarnationID string `json:"boot"`
+	// LeaseRecordsSince is the lowest epoch from which on all leaders abide by the lease
+	// records of the planner; 0 in records of versions that don't.
+	LeaseRecordsSince int64 `json:"leaseRecordsSince,omitempty"`
 }
 
 const (
@@ -42,6 +46,10 @@
 	record   leaderRecord // zero if there is none, or invalid is set
 	invalid  bool         // the newest record can't be decoded
 	topicEnd pv.Offset    // end of the leader topic when it was read
+	// jobsEnd is the end of the jobs topic as it was read by jobsReadAt; the zero time stands
+	// for a claim without such a read.
+	jobsEnd    pv.Offset
+	jobsReadAt time.Time
 }
 
 // highestEpoch returns the highest epoch that can have been claimed.
@@ -66,23 +74,30 @@
 
 // claimedTerm is a term right after its claim.
 type claimedTerm struct {
-	epoch       int64
-	records     []pv.KeyedRecord // newest records of the jobs topic
-	sequence    int64            // of the last append
-	confirmedAt time.Duration    // clock reading at the start of the last append; the store may have applied it as early as that
+	epoch        int64
+	records      []pv.KeyedRecord // newest records of the jobs topic
+	sequence     int64            // of the last append
+	confirmedAt  time.Duration    // clock reading at the start of the last append; the store may have applied it as early as that
+	predecessors planner.Predecessors
 }
 
 // claim claims the next epoch and reads the jobs topic. It fails if
 // another process has claimed the epoch.
 func claim(ctx context.Context, store pv.Store, clock func() time.Duration, last lastClaim, node, incarnationID string) (claimedTerm, error) {
-	epoch, err := claimEpoch(ctx, store, last, node, incarnationID)
+	claimed, err := claimEpoch(ctx, store, last, node, incarnationID)
 	if err != nil {
 		return claimedTerm{}, err
 	}
+	epoch := claimed.Epoch
 	t := claimedTerm{epoch: epoch, sequence: firstSequence, confirmedAt: clock()}
-	if err := appendHeartbeat(ctx, store, epoch, t.sequence); err != nil {
+	offset, err := appendHeartbeat(ctx, store, epoch, t.sequence)
+	if err != nil {
 		return claimedTerm{}, err
 	}
+	t.predecessors = planner.Predecessors{LastAppendBy: time.Now(), LeaseRecordsSince: claimed.LeaseRecordsSince}
+	if offset == last.jobsEnd && !last.jobsReadAt.IsZero() {
+		t.predecessors.LastAppendBy = last.jobsReadAt // nobody has appended since
+	}
 	// Reading many jobs can take longer than the noAppend timeout. Without heartbeats
 	// another candidate would claim the next term in the meantime.
 	heartbeatCtx, stopHeartbeats := context.WithCancel(ctx)
@@ -91,7 +106,7 @@
 		for sleep(heartbeatCtx, claimHeartbeatInterval) == nil {
 			start := clock()
 			t.sequence++
-			if err := appendHeartbeat(ctx, store, epoch, t.sequence); err != nil {
+			if _, err := appendHeartbeat(ctx, store, epoch, t.sequence); err != nil {
 				heartbeatsDone <- err
 				return
 			}
@@ -108,21 +123,21 @@
 	return t, err
 }
 
-// appendHeartbeat appends a heartbeat to the jobs topic. It repeats the append under
-// the same sequence number until the store accepts it or refuses the epoch.
-func appendHeartbeat(ctx context.Context, store pv.Store, epoch, sequence int64) error {
+// appendHeartbeat appends a heartbeat to the jobs topic, and returns its offset. It repeats
+// the append under the same sequence number until the store accepts it or refuses the epoch.
+func appendHeartbeat(ctx context.Context, store pv.Store, epoch, sequence int64) (pv.Offset, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		verdict, _, err := store.Append(callCtx, jobsTopic, pv.Writer{Name: writerName, Epoch: epoch, Sequence: sequence}, pv.AtAnyOffset, heartbeatRecords(epoch))
+		verdict, offset, err := store.Append(callCtx, jobsTopic, pv.Writer{Name: writerName, Epoch: epoch, Sequence: sequence}, pv.AtAnyOffset, heartbeatRecords(epoch))
 		cancel()
 		switch verdict {
 		case pv.AppendDone:
-			return nil
+			return offset, nil
 		case pv.AppendSuperseded, pv.AppendSequenceGap:
-			return Error.New("heartbeat append under epoch %d refused: the epoch is superseded or used by another writer", epoch)
+			return 0, Error.New("heartbeat append under epoch %d refused: the epoch is superseded or used by another writer", epoch)
 		}
 		if err := waitToRetry(ctx, err); err != nil {
-			return err
+			return 0, err
 		}
 	}
 }
@@ -137,13 +152,17 @@
 	return []pv.KeyedRecord{{Key: heartbeatKey, Value: value}}
 }
 
-// claimEpoch appends the claim of the next epoch to the leader topic, and returns the
-// epoch. It repeats the append until the store decides.
-func claimEpoch(ctx context.Context, store pv.Store, last lastClaim, node, incarnationID string) (int64, error) {
+// claimEpoch appends the claim of the next epoch to the leader topic, and returns it. It
+// repeats the append until the store decides.
+func claimEpoch(ctx context.Context, store pv.Store, last lastClaim, node, incarnationID string) (leaderRecord, error) {
 	claimed := leaderRecord{Epoch: last.highestEpoch() + 1, Node: node, IncarnationID: incarnationID}
+	claimed.LeaseRecordsSince = claimed.Epoch
+	if since := last.record.LeaseRecordsSince; since > 0 && last.record.Epoch == last.highestEpoch() {
+		claimed.LeaseRecordsSince = since
+	}
 	value, err := json.Marshal(claimed)
 	if err != nil {
-		return 0, Error.Wrap(err)
+		return leaderRecord{}, Error.Wrap(err)
 	}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -151,20 +170,20 @@
 		cancel()
 		switch verdict {
 		case pv.AppendDone:
-			return claimed.Epoch, nil
+			return claimed, nil
 		case pv.AppendOffsetMismatch:
 			// An earlier call of this append, whose response was lost, may have moved the
 			// offset.
 			current, err := readClaim(ctx, store)
 			if err == nil && current.record == claimed {
-				return claimed.Epoch, nil
+				return claimed, nil
 			}
 			if err == nil {
-				return 0, Error.New("epoch already claimed: the newest claim is of epoch %d by %s", current.record.Epoch, current.record.Node)
+				return leaderRecord{}, Error.New("epoch already claimed: the newest claim is of epoch %d by %s", current.record.Epoch, current.record.Node)
 			}
 		}
 		if err := waitToRetry(ctx, err); err != nil {
-			return 0, err
+			return leaderRecord{}, err
 		}
 	}
 }
--- a/leader/claim_test.go
+++ b/leader/claim_test.go
@@ -37,10 +37,11 @@
 						candidates.Add(1)
 						go func() {
 							defer candidates.Done()
-							epoch, err := claimEpoch(ctx, store.ClientFor(node), last, node, "boot")
+							claim, err := claimEpoch(ctx, store.ClientFor(node), last, node, "boot")
 							if err != nil {
 								return // another candidate has the epoch
 							}
+							epoch := claim.Epoch
 							mu.Lock()
 							defer mu.Unlock()
 							if other, ok := claimed[epoch]; ok {
@@ -207,3 +208,83 @@
 		})
 	}
 }
+
+// A claim states since which epoch all leaders abide by lease records. A claim of a version
+// that doesn't, or a record of another writer, begins that anew.
+func TestLeaseRecordsSinceEpoch(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		store := standin.NewKeyedStore(1)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		client := store.ClientFor("a")
+		for i, c := range []struct {
+			before string // record written before the claim, if any
+			want   int64
+		}{
+			{"", 1}, {"", 1}, {`{"epoch":3,"node":"former version"}`, 4}, {"", 4}, {`{"epoch":3,"leaseRecordsSince":1}`, 7}, {"garbage", 9}, {"", 9},
+		} {
+			if c.before != "" {
+				if err := client.Put(ctx, leaderTopic, []pv.KeyedRecord{{Key: leaderKey, Value: []byte(c.before)}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			last, err := readClaim(ctx, client)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := claim(ctx, client, sinceNow(), last, "a", "boot")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.predecessors.LeaseRecordsSince != c.want {
+				t.Errorf("claim %d: got lease records since epoch %d, want %d", i, got.predecessors.LeaseRecordsSince, c.want)
+			}
+		}
+	})
+}
+
+// The wait for leases of former leaders counted from the end of the claim. It counts from the
+// last read of the jobs topic's end, if nobody has appended since.
+func TestLastAppendOfFormerLeaders(t *testing.T) {
+	for name, appends := range map[string]bool{"none since the read": false, "one since the read": true} {
+		t.Run(name, func(t *testing.T) {
+			pipenet.Bubble(t, func(t *testing.T) {
+				store := standin.NewKeyedStore(1)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				client := store.ClientFor("a")
+				former, err := claim(ctx, client, sinceNow(), lastClaim{}, "former", "boot")
+				if err != nil {
+					t.Fatal(err)
+				}
+				last, err := readClaim(ctx, client)
+				if err != nil {
+					t.Fatal(err)
+				}
+				page, err := client.Newest(ctx, jobsTopic, afterAllKeys)
+				if err != nil {
+					t.Fatal(err)
+				}
+				last.jobsEnd, last.jobsReadAt = page.End, time.Now()
+				time.Sleep(time.Second)
+				if appends {
+					if _, err := appendHeartbeat(ctx, client, former.epoch, former.sequence+1); err != nil {
+						t.Fatal(err)
+					}
+				}
+				lastAppendAt := time.Now()
+				time.Sleep(time.Second)
+				got, err := claim(ctx, client, sinceNow(), last, "a", "boot")
+				if err != nil {
+					t.Fatal(err)
+				}
+				switch by := got.predecessors.LastAppendBy; {
+				case appends && by.Before(lastAppendAt):
+					t.Errorf("got the last append by %v before it", lastAppendAt.Sub(by))
+				case !appends && !by.Equal(last.jobsReadAt):
+					t.Errorf("got the last append by %v after the read, want by the read", by.Sub(last.jobsReadAt))
+				}
+			})
+		})
+	}
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -191,6 +191,7 @@
 		c.leader.metrics.undecodable.WithLabelValues(string(leaderTopic)).Inc()
 		c.leader.deps.Logger.Warn("leader: the newest claim can't be decoded; the next epoch doesn't depend on it", zap.Int64("topicEnd", int64(last.topicEnd)))
 	}
+	last.jobsEnd, last.jobsReadAt = page.End, time.Now()
 	c.last = last
 	wait := c.timeouts().noAppend
 	if s := c.leader.deps.LeaderStatus(); s.SteppedDown && last.highestEpoch() <= s.Epoch {
--- a/leader/term.go
+++ b/leader/term.go
@@ -80,7 +80,7 @@
 	t.epoch, t.sequence, t.confirmedAt, t.ctx = claimed.epoch, claimed.sequence, claimed.confirmedAt, ctx
 	now := time.Now()
 	t.planner = planner.New(s.Planner, t.epoch)
-	for _, fault := range t.planner.Restore(now, claimed.records) {
+	for _, fault := range t.planner.Restore(now, claimed.records, claimed.predecessors) {
 		t.metrics.undecodable.WithLabelValues(string(jobsTopic)).Inc()
 		t.logger.Error("leader: stored record can't be decoded; it is skipped", zap.Int64("epoch", t.epoch), logfield.Error(fault))
 	}
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -46,7 +46,7 @@
 	if w.fullOrdersDue && !permissions.StartRuns {
 		return Orders{}, false // full orders without starts would make the supervisor stop its runs
 	}
-	renewalDue := permissions.RenewLease && now.Sub(w.leaseRenewedAt) >= leaseRenewalInterval
+	renewalDue := permissions.RenewLease && w.renewal == renewing && now.Sub(w.leaseRenewedAt) >= leaseRenewalInterval
 	if !w.fullOrdersDue && !renewalDue && (len(w.unsentStarts) == 0 || !permissions.StartRuns) && len(w.unsentStops) == 0 && len(w.strayRuns) == 0 && w.committedEnd == w.acknowledgedEnd {
 		return Orders{}, false
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -53,6 +53,8 @@
 	newStops             []*run
 	placementDue         bool
 	lastPassAt           time.Time
+	lastTickAt           time.Time
+	tickingSince         time.Time // first tick after the last gap between ticks
 	lastMigrationPassAt  time.Time
 	lastExpiryAt         time.Time
 	lastCheckpointPassAt time.Time
@@ -207,10 +209,12 @@
 // expires ended jobs and disconnected workers, places waiting tasks, including those
 // of due occurrences, and migrates fillers.
 func (p *Planner) Tick(now time.Time) {
+	p.noteTick(now)
 	for _, w := range p.workers {
 		if len(w.runs) > 0 && w.lapsed(now, p.settings) {
 			p.endLapsedRuns(now, w)
 		}
+		p.suspendRenewal(now, w)
 	}
 	if now.Sub(p.lastExpiryAt) > time.Second {
 		p.lastExpiryAt = now
@@ -260,7 +264,7 @@
 		}
 	}
 	for id, w := range p.workers {
-		if len(w.runs) == 0 && !w.connected && now.Sub(w.lastReportAt) > p.settings.EndedRetention {
+		if len(w.runs) == 0 && w.renewal == renewing && !w.connected && now.Sub(w.lastReportAt) > p.settings.EndedRetention {
 			delete(p.workers, id)
 		}
 	}
@@ -288,6 +292,7 @@
 	stops   []*run
 	acks    map[*worker]endAck
 	states  []batchedState
+	resumed []*worker // their lease records are removed
 }
 
 type batchedState struct {
@@ -307,6 +312,8 @@
 	}
 	b.Records = append(b.Records, p.removedRecords...)
 	b.Records = append(b.Records, p.coefficientsRecord(p.passStartedAt)...)
+	leases, resumed := p.leaseRecords()
+	b.Records, b.resumed = append(b.Records, leases...), resumed
 	for _, w := range p.workers {
 		if w.appliedEnd > w.committedEnd {
 			b.acks[w] = endAck{incarnation: w.state.Incarnation, sequence: w.appliedEnd}
@@ -335,6 +342,9 @@
 			r.worker.unsentStops = append(r.worker.unsentStops, r)
 		}
 	}
+	for _, w := range b.resumed {
+		p.resumed(w)
+	}
 	for w, a := range b.acks {
 		if w.state.Incarnation == a.incarnation {
 			w.committedEnd = max(w.committedEnd, a.sequence)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -95,12 +96,8 @@
 
 // successor returns a harness with a new leader's planner, restored from the records.
 func (h *harness) successor() *harness {
-	next := &harness{t: h.t, p: New(DefaultSettings(), h.p.epoch+1), now: h.now, clocks: h.clocks, records: h.records}
-	var records []pv.KeyedRecord
-	for k, v := range h.records {
-		records = append(records, pv.KeyedRecord{Key: k, Value: v})
-	}
-	for _, err := range next.p.Restore(next.now, records) {
+	next := &harness{t: h.t, p: New(DefaultSettings(), h.p.epoch+1), now: h.now, clocks: h.clocks, records: maps.Clone(h.records)}
+	for _, err := range next.p.Restore(next.now, h.storedRecords(), Predecessors{}) {
 		h.t.Error(err)
 	}
 	return next
@@ -199,6 +196,7 @@
 	h.tickAndCommit()
 	h.sendOrders("w")
 	lease := h.p.workers["w"].leaseEnd - h.p.workers["w"].clock
+	next := h.successor() // of a leader that has just renewed the lease
 	began := h.now
 	for h.now.Sub(began) < time.Duration(float64(lease)/(1-h.p.settings.MaxClockDrift)) {
 		h.reportPoll("v", 1, PollResult{})
@@ -208,7 +206,6 @@
 			t.Fatalf("got a run elsewhere after %v, want none within the lease of %v", h.now.Sub(began), lease)
 		}
 	}
-	next := h.successor()
 	began = next.now
 	for next.now.Sub(began) < next.p.settings.OrphanTimeout {
 		next.reportPoll("v", 1, PollResult{})
--- a/planner/record.go
+++ b/planner/record.go
@@ -189,10 +189,10 @@
 	return data
 }
 
-// Restore loads jobs and interference coefficients from the newest record of each key
-// of the jobs topic. It returns an error for each record that it can't decode and skips
+// Restore loads jobs, lease records and interference coefficients from the newest record of
+// each key of the jobs topic. It returns an error for each record that it can't decode and skips
 // that record.
-func (p *Planner) Restore(now time.Time, records []pv.KeyedRecord) []error {
+func (p *Planner) Restore(now time.Time, records []pv.KeyedRecord, predecessors Predecessors) []error {
 	var errors []error
 	states := map[string][]byte{}
 	groups := map[pv.JobID][]storedGroup{}
@@ -218,6 +218,18 @@
 			errors = append(errors, Error.New("restore job %s: %w", id, err))
 		}
 	}
+	for _, r := range records {
+		if strings.HasPrefix(r.Key, leasePrefix) && len(r.Value) > 0 {
+			if err := p.restoreLease(now, r, predecessors.LeaseRecordsSince); err != nil {
+				errors = append(errors, Error.New("restore %s: %w", r.Key, err))
+			}
+		}
+	}
+	if !predecessors.LastAppendBy.IsZero() {
+		for _, w := range p.workers {
+			w.limitOrphanDeadline(predecessors.LastAppendBy.Add(p.settings.OrphanTimeout))
+		}
+	}
 	p.placementDue = true
 	return errors
 }
--- a/planner/record_odd_test.go
+++ b/planner/record_odd_test.go
@@ -36,7 +36,7 @@
 			}()
 			p := New(DefaultSettings(), 1)
 			records := append([]pv.KeyedRecord{record("job/odd", `{"job":`+job+`,"queue":{"name":"q"},"accepted":1}`), record("state/odd", state)}, sound...)
-			if got := p.Restore(time.Unix(1000, 0), records); len(got) != 1 {
+			if got := p.Restore(time.Unix(1000, 0), records, Predecessors{}); len(got) != 1 {
 				t.Errorf("got errors %v, want one", got)
 			}
 			if _, ok := p.State("sound"); !ok || len(p.jobs) != 1 {
@@ -64,7 +64,7 @@
 			p := New(DefaultSettings(), 1)
 			got := p.Restore(time.Unix(1000, 0), []pv.KeyedRecord{
 				{Key: "job/j", Value: spec}, {Key: "state/j", Value: []byte(c.state)}, {Key: "tasks/j/0/0", Value: []byte(c.tasks)},
-			})
+			}, Predecessors{})
 			if len(got) == 0 {
 				t.Errorf("got no error, want the odd record reported")
 			}
@@ -76,14 +76,14 @@
 // with what it restored from them.
 func FuzzRestore(f *testing.F) {
 	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":2,"size":{"milliCores":1}},{"count":1,"after":[0]}]},"queue":{"name":"q"},"accepted":1}`),
-		[]byte(`{"state":"running","tasks":"apart"}`), []byte(`[{"index":0,"attempt":1,"worker":"w","life":1}]`), []byte(`[{"filler":"a","serving":"b","perCore":0.5}]`))
+		[]byte(`{"state":"running","tasks":"apart"}`), []byte(`[{"index":0,"attempt":1,"worker":"w","life":1}]`), []byte(`[{"filler":"a","serving":"b","perCore":0.5}]`), []byte(`{"epoch":1,"life":1,"remainingMs":5000}`))
 	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":1}]},"queue":{"name":"q","deadlineFactor":1e308},"accepted":9223372036854775807}`),
-		[]byte(`{"state":"asleep","ended":9223372036854775807,"tasks":[{"step":0,"index":0,"attempt":-1}],"gangs":[9223372036854775807]}`), []byte(`[{"index":0,"attempt":4294967297,"worker":"w"}]`), []byte(`null`))
-	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":1,"after":[7]}]},"queue":{"name":"q"},"accepted":1}`), []byte(`{"state":"queued","tasks":"apart"}`), []byte(`[]`), []byte(`[]`))
-	f.Fuzz(func(t *testing.T, spec, state, tasks, coefficients []byte) {
+		[]byte(`{"state":"asleep","ended":9223372036854775807,"tasks":[{"step":0,"index":0,"attempt":-1}],"gangs":[9223372036854775807]}`), []byte(`[{"index":0,"attempt":4294967297,"worker":"w"}]`), []byte(`null`), []byte(`{"epoch":9223372036854775807,"life":-1,"remainingMs":9223372036854775807}`))
+	f.Add([]byte(`{"job":{"id":"j","steps":[{"count":1,"after":[7]}]},"queue":{"name":"q"},"accepted":1}`), []byte(`{"state":"queued","tasks":"apart"}`), []byte(`[]`), []byte(`[]`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, spec, state, tasks, coefficients, lease []byte) {
 		p := New(DefaultSettings(), 1)
 		now := time.Unix(1000, 0)
-		p.Restore(now, []pv.KeyedRecord{{Key: "job/j", Value: spec}, {Key: "state/j", Value: state}, {Key: "tasks/j/0/0", Value: tasks}, {Key: coefficientsKey, Value: coefficients}})
+		p.Restore(now, []pv.KeyedRecord{{Key: "job/j", Value: spec}, {Key: "state/j", Value: state}, {Key: "tasks/j/0/0", Value: tasks}, {Key: coefficientsKey, Value: coefficients}, {Key: leasePrefix + "w", Value: lease}}, Predecessors{})
 		for i := range 5 {
 			p.Tick(now.Add(time.Duration(i) * time.Second))
 			for b := p.NextBatch(); b != nil; b = p.NextBatch() {
--- a/planner/report.go
+++ b/planner/report.go
@@ -64,8 +64,11 @@
 		return // likewise; the present one hasn't reported to this leader yet
 	}
 	if r.Worker.Incarnation != w.state.Incarnation || !w.stateKnown {
+		known := !w.stateKnown && w.knownToFormerLeader(r.Worker.Incarnation)
 		w.startIncarnation(r.Worker.Incarnation, p.epoch)
-		w.orphanDeadline = now.Add(p.settings.OrphanTimeout)
+		if !known {
+			w.orphanDeadline = now.Add(p.settings.OrphanTimeout)
+		}
 		p.addEvent(Event{Kind: "worker begins", Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, FencingToken: w.fencingToken})
 	}
 	if r.Worker.Draining && !w.state.Draining {
@@ -136,6 +139,7 @@
 		w.leaseEnd = max(w.leaseEnd, poll.Clock+p.settings.LeaseDuration)
 	}
 	w.clock, w.clockReceivedAt, w.unanswering = poll.Clock, now, false
+	w.heard(now)
 	w.lapsedRuns = slices.DeleteFunc(w.lapsedRuns, func(r *run) bool { return r.incarnation == w.state.Incarnation })
 	if poll.EndsAbove > w.appliedEnd {
 		// Earlier ends were reported to another leader only. Full orders make the
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -33,11 +33,18 @@
 	clockReceivedAt       time.Time
 	lastReportAt          time.Time     // with or without a poll result
 	leaseEnd              time.Duration // latest lease end ever sent, by the worker's clock
-	orphanDeadline        time.Time     // when the runs of a worker without a poll result count as ended
+	orphanDeadline        time.Time     // when the lease of a worker without a poll result has certainly lapsed
 	deregisteredAt        time.Time
 	connected             bool // the worker's supervisor is connected to this leader
 	unanswering           bool // its supervisor reported no answer since the last poll result
 
+	renewal             renewal
+	heardAt             time.Time     // when it last answered a poll, or became known to this leader
+	leaseRecordDue      bool          // a lease record, or its removal, is to be stored
+	leaseRecordedAt     time.Time     // when the last lease record became due
+	leaseRemaining      time.Duration // then
+	recordedIncarnation int64         // in the lease record of a former leader; 0 if there is none
+
 	runs              map[pv.RunRef]*run
 	crashedAt         time.Time                // when the former worker or incarnation at its address was known to have crashed
 	probation         *run                     // of a suspected task, until two polls have listed it
@@ -65,7 +72,7 @@
 func (p *Planner) worker(now time.Time, id pv.WorkerID) *worker {
 	w, ok := p.workers[id]
 	if !ok {
-		w = &worker{state: pv.WorkerState{ID: id}, fencingToken: p.epoch << incarnationBits, runs: map[pv.RunRef]*run{}, sentCoefficients: map[pv.ImagePair]float64{}, orphanDeadline: now.Add(p.settings.OrphanTimeout)}
+		w = &worker{state: pv.WorkerState{ID: id}, fencingToken: p.epoch << incarnationBits, runs: map[pv.RunRef]*run{}, sentCoefficients: map[pv.ImagePair]float64{}, orphanDeadline: now.Add(p.settings.OrphanTimeout), heardAt: now}
 		p.workers[id] = w
 	}
 	return w
@@ -94,10 +101,7 @@
 	if !w.deregisteredAt.IsZero() && now.Sub(w.deregisteredAt) > s.DeregistrationGrace {
 		return true
 	}
-	if w.clockReceivedAt.IsZero() {
-		return now.After(w.orphanDeadline)
-	}
-	return now.After(w.clockReceivedAt.Add(s.maxRealTime(w.leaseEnd-w.clock) + s.LapseMargin))
+	return now.After(w.lapseTime(s))
 }
 
 // minRemainingLease is the remaining lease that a worker needs to get new runs.
@@ -111,10 +115,10 @@
 }
 
 // renewLease renews the worker's lease and returns its end, a reading of the
-// worker's clock. The end depends on the last received reading only: the lease of a
+// worker's clock, or 0 if it may not be renewed. The end depends on the last received reading only: the lease of a
 // worker that stopped answering must lapse even if its supervisor stays connected.
 func (w *worker) renewLease(now time.Time, s Settings) time.Duration {
-	if w.clockReceivedAt.IsZero() {
+	if w.clockReceivedAt.IsZero() || w.renewal != renewing {
 		return 0
 	}
 	until := w.clock + s.LeaseDuration
--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -297,6 +297,13 @@
 	return r.state.ID
 }
 
+// RunningCount returns the number of runs on the worker.
+func (r *JobWorker) RunningCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
 // Heartbeat returns the state for the next heartbeat, and false while the worker is
 // down.
 func (r *JobWorker) Heartbeat() (pv.WorkerState, bool) {
