messenger: the time without a leader goes on when its silent link ends

The candidate had suspected the silent leader after 1.4 s and then watched the jobs topic for 0.9 s. Meanwhile the link reached its read deadline of 2 s, from which on the time without a leader counted anew; the candidate found the leader no longer suspected, dropped what it had seen, and watched again.

Cause: the time without a link counted from the link's end, though a link without frames ends 2 s after the leader was last heard. It now counts from the last frame.

--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -29,7 +29,7 @@
 	link           *Link
 	links          map[*Link]bool
 	stalledSince   time.Time // first of the pings in a row that report that the store doesn't answer the leader; zero if the last ping didn't
-	disconnectedAt time.Time // when the last leader's link ended or it stepped down; at first, when this process started
+	disconnectedAt time.Time // of the last frame on the last leader's link, which has ended, or when it stepped down; at first, when this process started
 	steppedDown    bool      // the last leader announced that it steps down
 }
 
@@ -78,7 +78,7 @@
 	a.mu.Lock()
 	delete(a.links, l)
 	if a.link == l {
-		a.link, a.disconnectedAt = nil, time.Now()
+		a.link, a.disconnectedAt = nil, time.Now().Add(-l.SilentFor())
 	}
 	a.mu.Unlock()
 	if connected {
@@ -130,7 +130,7 @@
 	SteppedDown    bool          // the last leader announced that it steps down, and no other has connected since
 	Epoch          int64         // of the last leader
 	StoreStalled   bool          // the store doesn't answer the leader
-	UnavailableFor time.Duration // since the last frame; if StoreStalled, since the stall began; if not Linked, since the link ended
+	UnavailableFor time.Duration // since the last frame; if StoreStalled, since the stall began
 }
 
 // LeaderStatus returns what this process has observed of the leader.
--- a/messenger/acceptor_test.go
+++ b/messenger/acceptor_test.go
@@ -77,3 +77,38 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// When the link of a leader that had fallen silent ended, the time without the leader began
+// anew, and a candidate that had watched the store meanwhile dropped what it had seen.
+func TestUnavailableTimeGoesOnWhenSilentLinkEnds(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		network := pipenet.New()
+		l := network.Listen("process")
+		a := NewLeaderAcceptor("process", "gateway", l, zap.NewNop(), countingHandler{make(chan *wire.LinkFrame, 4)})
+		link, err := OpenLink(context.Background(), network.Dialer("leader"), l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = link.Run(func(*wire.LinkFrame) {}) }()
+		link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Greeting{Greeting: &wire.Greeting{Leader: "leader", Epoch: 1}}})
+		time.Sleep(10 * time.Millisecond)
+		if !a.LeaderStatus().Linked {
+			t.Fatal("got no link, want the leader's")
+		}
+		linked, last := true, time.Duration(0)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			s := a.LeaderStatus()
+			if s.UnavailableFor < last {
+				t.Errorf("got the leader unavailable for %v (linked: %v), want at least %v", s.UnavailableFor, s.Linked, last)
+			}
+			linked, last = linked && s.Linked, s.UnavailableFor
+		}
+		if linked {
+			t.Error("got the silent link open for 5 s, want it ended")
+		}
+		link.Close()
+		a.Close()
+		time.Sleep(5 * time.Second)
+	})
+}
