planner: leases to suspend are searched for every 0.1 s

The search ran over all workers at every report that the leader handled, beside the search for lapsed leases, and each batch looked at all workers again. It now runs ten times a second, and batches look only at the records that are due. No behaviour changes but by that interval; the tests of lease records are the same.

--- a/planner/lease.go
+++ b/planner/lease.go
@@ -24,6 +24,7 @@
 const (
 	suspendAfter        = time.Second            // since the worker's last poll result: twice the longest time between two
 	leaseRecordInterval = 500 * time.Millisecond // between two records of a lease; a successor waits longer by at most this
+	leasePassInterval   = 100 * time.Millisecond // between two searches for leases to suspend
 	maxTickGap          = 250 * time.Millisecond // between ticks, above which the leader itself was stopped or slow
 )
 
@@ -60,54 +61,49 @@
 	return w.clockReceivedAt.Add(s.maxRealTime(w.leaseEnd-w.clock) + s.LapseMargin)
 }
 
-// noteTick records a tick. After a gap without ticks, silence of a worker is no sign that it
-// is lost, since reports may wait to be handled.
-func (p *Planner) noteTick(now time.Time) {
+// suspendRenewals marks the lease records as due of workers with runs that haven't been heard
+// from. It also marks those to write again, and the removal of those that aren't needed any
+// more.
+func (p *Planner) suspendRenewals(now time.Time) {
+	// After a gap without ticks silence is no sign that workers are lost: their reports may
+	// wait to be handled.
 	if now.Sub(p.lastTickAt) > maxTickGap {
 		p.tickingSince = now
 	}
 	p.lastTickAt = now
-}
-
-// suspendRenewal marks the worker's lease record as due if the worker has runs and hasn't
-// been heard from, or if the record is to be written again or isn't needed any more.
-func (p *Planner) suspendRenewal(now time.Time, w *worker) {
-	switch {
-	case w.renewal == resuming:
-	case len(w.runs) == 0:
-		w.leaseRecordDue = false
-		w.resumeRenewal()
-	case w.renewal == suspended && now.Sub(w.leaseRecordedAt) >= leaseRecordInterval,
-		w.renewal == renewing && now.Sub(w.heardAt) >= suspendAfter && now.Sub(p.tickingSince) >= suspendAfter:
-		w.leaseRecordDue, w.leaseRecordedAt = true, now
-		w.leaseRemaining = max(0, w.lapseTime(p.settings).Sub(now))
+	if now.Sub(p.lastLeasePassAt) < leasePassInterval {
+		return
 	}
-}
-
-// resumeRenewal marks the removal of the worker's lease record as due, if there is one.
-func (w *worker) resumeRenewal() {
-	if w.renewal == suspended {
-		w.renewal, w.leaseRecordDue = resuming, true
+	p.lastLeasePassAt = now
+	for _, w := range p.workers {
+		switch {
+		case w.renewal == resuming:
+		case len(w.runs) == 0:
+			p.resumeRenewal(w)
+		case w.renewal == suspended && now.Sub(w.leaseRecordedAt) >= leaseRecordInterval,
+			w.renewal == renewing && now.Sub(w.heardAt) >= suspendAfter && now.Sub(p.tickingSince) >= suspendAfter:
+			p.leaseRecordsDue[w] = true
+			w.leaseRecordedAt, w.leaseRemaining = now, max(0, w.lapseTime(p.settings).Sub(now))
+		}
 	}
 }
 
-// heard records that the worker has answered a poll.
-func (w *worker) heard(now time.Time) {
-	w.heardAt = now
-	if w.renewal == renewing {
-		w.leaseRecordDue = false
+// resumeRenewal marks the removal of the worker's lease record as due, if there is one.
+func (p *Planner) resumeRenewal(w *worker) {
+	switch w.renewal {
+	case renewing:
+		delete(p.leaseRecordsDue, w)
+	case suspended:
+		w.renewal = resuming
+		p.leaseRecordsDue[w] = true
 	}
-	w.resumeRenewal()
 }
 
 // leaseRecords returns the lease records to store, and the workers whose lease may be renewed
 // again once they are. From this call on the leases of the others aren't renewed.
 func (p *Planner) leaseRecords() (records []pv.KeyedRecord, resumed []*worker) {
-	for id, w := range p.workers {
-		if !w.leaseRecordDue {
-			continue
-		}
-		w.leaseRecordDue = false
+	for w := range p.leaseRecordsDue {
+		id := w.state.ID
 		record := pv.KeyedRecord{Key: leasePrefix + string(id)}
 		if w.renewal == resuming {
 			resumed = append(resumed, w)
@@ -120,11 +116,12 @@
 		}
 		records = append(records, record)
 	}
+	clear(p.leaseRecordsDue)
 	return records, resumed
 }
 
-// resumed lets the worker's lease be renewed again.
-func (p *Planner) resumed(w *worker) {
+// renewalResumed lets the worker's lease be renewed again.
+func (p *Planner) renewalResumed(w *worker) {
 	w.renewal = renewing
 	p.addEvent(Event{Kind: "lease resumed", Worker: w.state.ID, Incarnation: w.state.Incarnation, FencingToken: w.fencingToken})
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -55,6 +55,8 @@
 	lastPassAt           time.Time
 	lastTickAt           time.Time
 	tickingSince         time.Time // first tick after the last gap between ticks
+	lastLeasePassAt      time.Time
+	leaseRecordsDue      map[*worker]bool // whose lease record, or its removal, is to be stored
 	lastMigrationPassAt  time.Time
 	lastExpiryAt         time.Time
 	lastCheckpointPassAt time.Time
@@ -65,7 +67,7 @@
 func New(settings Settings, epoch int64) *Planner {
 	return &Planner{
 		settings: settings, epoch: epoch,
-		jobs: map[pv.JobID]*job{}, workers: map[pv.WorkerID]*worker{}, queues: map[string]pv.Queue{}, interference: newInterference(), workTotals: map[string]workTotal{}, cancelledAhead: map[pv.JobID]time.Time{},
+		jobs: map[pv.JobID]*job{}, workers: map[pv.WorkerID]*worker{}, queues: map[string]pv.Queue{}, interference: newInterference(), workTotals: map[string]workTotal{}, cancelledAhead: map[pv.JobID]time.Time{}, leaseRecordsDue: map[*worker]bool{},
 	}
 }
 
@@ -209,13 +211,12 @@
 // expires ended jobs and disconnected workers, places waiting tasks, including those
 // of due occurrences, and migrates fillers.
 func (p *Planner) Tick(now time.Time) {
-	p.noteTick(now)
 	for _, w := range p.workers {
 		if len(w.runs) > 0 && w.lapsed(now, p.settings) {
 			p.endLapsedRuns(now, w)
 		}
-		p.suspendRenewal(now, w)
 	}
+	p.suspendRenewals(now)
 	if now.Sub(p.lastExpiryAt) > time.Second {
 		p.lastExpiryAt = now
 		p.expire(now)
@@ -343,7 +344,7 @@
 		}
 	}
 	for _, w := range b.resumed {
-		p.resumed(w)
+		p.renewalResumed(w)
 	}
 	for w, a := range b.acks {
 		if w.state.Incarnation == a.incarnation {
--- a/planner/report.go
+++ b/planner/report.go
@@ -139,7 +139,8 @@
 		w.leaseEnd = max(w.leaseEnd, poll.Clock+p.settings.LeaseDuration)
 	}
 	w.clock, w.clockReceivedAt, w.unanswering = poll.Clock, now, false
-	w.heard(now)
+	w.heardAt = now
+	p.resumeRenewal(w)
 	w.lapsedRuns = slices.DeleteFunc(w.lapsedRuns, func(r *run) bool { return r.incarnation == w.state.Incarnation })
 	if poll.EndsAbove > w.appliedEnd {
 		// Earlier ends were reported to another leader only. Full orders make the
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -40,7 +40,6 @@
 
 	renewal             renewal
 	heardAt             time.Time     // when it last answered a poll, or became known to this leader
-	leaseRecordDue      bool          // a lease record, or its removal, is to be stored
 	leaseRecordedAt     time.Time     // when the last lease record became due
 	leaseRemaining      time.Duration // then
 	recordedIncarnation int64         // in the lease record of a former leader; 0 if there is none
