planner: a lease record counts renewals between its search and its batch

Found by reading, before any run showed it: the longest time that a lease can last was computed when the record became due. While a batch is being stored, which may take as long as an outage, the leader could then renew the lease by the last reading of the worker's clock, and the record said too little by up to the time for which renewals had not been permitted.

The time is now computed when the batch is sealed, from which moment the lease isn't renewed; it counts from the earlier search, which is the safe side.

--- a/planner/lease.go
+++ b/planner/lease.go
@@ -83,7 +83,7 @@
 		case w.renewal == suspended && now.Sub(w.leaseRecordedAt) >= leaseRecordInterval,
 			w.renewal == renewing && now.Sub(w.heardAt) >= suspendAfter && now.Sub(p.tickingSince) >= suspendAfter:
 			p.leaseRecordsDue[w] = true
-			w.leaseRecordedAt, w.leaseRemaining = now, max(0, w.lapseTime(p.settings).Sub(now))
+			w.leaseRecordedAt = now
 		}
 	}
 }
@@ -112,7 +112,10 @@
 				p.addEvent(Event{Kind: "lease suspended", Worker: id, Incarnation: w.state.Incarnation, FencingToken: w.fencingToken, ReportAge: w.leaseRecordedAt.Sub(w.clockReceivedAt)})
 			}
 			w.renewal = suspended
-			record.Value = encode(leaseRecord{Epoch: p.epoch, Incarnation: w.leaseIncarnation(), RemainingMS: w.leaseRemaining.Milliseconds() + 1})
+			// The lease may have been renewed since the record became due, by an earlier reading
+			// of the worker's clock.
+			remaining := max(0, w.lapseTime(p.settings).Sub(w.leaseRecordedAt))
+			record.Value = encode(leaseRecord{Epoch: p.epoch, Incarnation: w.leaseIncarnation(), RemainingMS: remaining.Milliseconds() + 1})
 		}
 		records = append(records, record)
 	}
--- a/planner/lease_test.go
+++ b/planner/lease_test.go
@@ -192,3 +192,23 @@
 	slices.SortFunc(out, func(a, b pv.KeyedRecord) int { return strings.Compare(a.Key, b.Key) })
 	return out
 }
+
+// A leader that may not renew leases for a while renews one by a reading that it has had for
+// long, after the lease record has become due and before it is sealed. The record counts that.
+func TestLeaseRecordCountsLateRenewal(t *testing.T) {
+	h := newLeaseHarness(t)
+	h.runFor(time.Second, "w")
+	h.reportPoll("w", 1, PollResult{Running: []pv.RunStatus{{Run: runOf("j", 0, 0, 1)}}})
+	for range 15 {
+		h.now = h.now.Add(tickTime)
+		h.p.Tick(h.now)
+	}
+	if o, _ := h.p.Orders(h.now, "w", allPermissions); o.Lease.End != h.p.workers["w"].clock+h.p.settings.LeaseDuration {
+		t.Fatalf("got a lease until %v, want it renewed by the last reading", o.Lease.End)
+	}
+	h.store(h.p.NextBatch())
+	next := h.successor()
+	if got, want := next.p.workers["w"].lapseTime(next.p.settings), h.p.workers["w"].lapseTime(h.p.settings); got.Before(want) {
+		t.Errorf("got the lease lapsed for the successor %v before it is for the leader, want not before", want.Sub(got))
+	}
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -39,10 +39,9 @@
 	unanswering           bool // its supervisor reported no answer since the last poll result
 
 	renewal             renewal
-	heardAt             time.Time     // when it last answered a poll, or became known to this leader
-	leaseRecordedAt     time.Time     // when the last lease record became due
-	leaseRemaining      time.Duration // then
-	recordedIncarnation int64         // in the lease record of a former leader; 0 if there is none
+	heardAt             time.Time // when it last answered a poll, or became known to this leader
+	leaseRecordedAt     time.Time // when the last lease record became due
+	recordedIncarnation int64     // in the lease record of a former leader; 0 if there is none
 
 	runs              map[pv.RunRef]*run
 	crashedAt         time.Time                // when the former worker or incarnation at its address was known to have crashed
