--- a/planner/lease.go
+++ b/planner/lease.go
@@ -1,8 +1,8 @@
 package planner
 
 // This file defines the records of leases that no leader renews. Without them a leader that
-// can't reach a worker would have to wait as if its predecessor had renewed the worker's lease
-// to the last, and each further leader would begin this wait anew.
+// can't reach a worker has to assume that its predecessor renewed the worker's lease until its
+// own term ended, and each further leader begins this wait anew.
 //
 // A leader that hasn't heard from a worker with runs for suspendAfter suspends the renewals of
 // its lease: it stores how long the lease can still last, and that is binding for all leaders
@@ -99,9 +99,9 @@
 	}
 }
 
-// leaseRecords returns the lease records to store, and the workers whose lease may be renewed
-// again once they are. From this call on the leases of the others aren't renewed.
-func (p *Planner) leaseRecords() (records []pv.KeyedRecord, resumed []*worker) {
+// sealLeaseRecords returns the lease records to store, and the workers whose lease may be
+// renewed again once they are. It suspends the renewals for the others.
+func (p *Planner) sealLeaseRecords() (records []pv.KeyedRecord, resumed []*worker) {
 	for w := range p.leaseRecordsDue {
 		id := w.state.ID
 		record := pv.KeyedRecord{Key: leasePrefix + string(id)}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -313,7 +313,7 @@
 	}
 	b.Records = append(b.Records, p.removedRecords...)
 	b.Records = append(b.Records, p.coefficientsRecord(p.passStartedAt)...)
-	leases, resumed := p.leaseRecords()
+	leases, resumed := p.sealLeaseRecords()
 	b.Records, b.resumed = append(b.Records, leases...), resumed
 	for _, w := range p.workers {
 		if w.appliedEnd > w.committedEnd {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -28,7 +28,7 @@
 	incarnationCount      int64
 	fencingToken          int64
 	fencingTokenConfirmed bool          // this incarnation has answered a poll under fencingToken
-	formerRunsEnded       bool          // and then listed all of its ends, so that no run of an earlier incarnation goes on
+	formerRunsEnded       bool          // it has listed all of its ends since, so no run of an earlier incarnation goes on
 	clock                 time.Duration // reading in the last poll result
 	clockReceivedAt       time.Time
 	lastReportAt          time.Time     // with or without a poll result
@@ -113,8 +113,9 @@
 }
 
 // renewLease renews the worker's lease and returns its end, a reading of the
-// worker's clock, or 0 if it may not be renewed. The end depends on the last received reading only: the lease of a
-// worker that stopped answering must lapse even if its supervisor stays connected.
+// worker's clock, or 0 if it may not be renewed. The end depends on the last received
+// reading only: the lease of a worker that stopped answering must lapse even if its
+// supervisor stays connected.
 func (w *worker) renewLease(now time.Time, s Settings) time.Duration {
 	if w.clockReceivedAt.IsZero() || w.renewal != renewing {
 		return 0
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -179,7 +179,7 @@
 		}
 	}
 	for ref, r := range v.runs {
-		if present[ref] || q.number <= r.phasePoll || runs.EndsTruncated {
+		if present[ref] || q.number <= r.phasePoll || runs.EndsTruncated { // its end may be one of those left out
 			continue
 		}
 		switch r.phase {
