planner: a restored worker has the address of its latest incarnation

A new leader took a worker's address from the records of its tasks, the last one read. If the worker had started again under its id at another address, and a task of its former incarnation was still recorded, a worker that answered at the former address counted as its replacement, and the runs of the present incarnation were ended while they went on (TWICE).

Now the record of the latest incarnation names the address. TestReplacedWorkerAtFormerAddress failed: the run of the present incarnation had ended.

--- a/planner/record.go
+++ b/planner/record.go
@@ -324,8 +324,8 @@
 		}
 		if r.Worker != "" {
 			w := p.worker(now, r.Worker)
-			if a, err := netip.ParseAddrPort(r.Address); err == nil && !w.stateKnown {
-				w.state.Address = a
+			if a, err := netip.ParseAddrPort(r.Address); err == nil && !w.stateKnown && r.Incarnation >= w.addressIncarnation {
+				w.state.Address, w.addressIncarnation = a, r.Incarnation
 			}
 			restored := &run{task: t, attempt: r.Attempt, worker: w, incarnation: r.Incarnation, committed: true, stopping: j.state.Ended()}
 			p.addRun(restored)
--- a/planner/record_test.go
+++ b/planner/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -164,3 +165,34 @@
 		}
 	}
 }
+
+// A worker had started again under its id at another address. A new leader took the address in
+// the record of a task of the former incarnation for the worker's, and another worker that
+// answers there ended the runs of the present one, which went on.
+func TestReplacedWorkerAtFormerAddress(t *testing.T) {
+	former, present := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
+	h := newHarness(t)
+	h.address = former
+	h.reportPoll("w", 1, PollResult{})
+	h.sendOrders("w")
+	h.submit("z", stepWithTasks(1))
+	h.tickAndCommit()
+	h.sendOrders("w")
+	h.address = present
+	h.reportPoll("w", 2, PollResult{EndsTruncated: true}) // the former run may have ended on it
+	h.sendOrders("w")
+	w := h.p.workers["w"]
+	h.submit("a", stepWithTasks(1))
+	h.tickAndCommit()
+	if len(w.runs) != 2 {
+		t.Fatalf("got %d runs on the worker, want 2", len(w.runs))
+	}
+	next := h.successor()
+	next.address = former
+	next.reportPoll("v", 3, PollResult{})
+	next.sendOrders("v")
+	next.tickAndCommit()
+	if w, ok := next.p.workers["w"]; !ok || w.runs[runOf("a", 0, 0, 1)] == nil {
+		t.Error("got the run of the present incarnation ended, want it to go on")
+	}
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -24,7 +24,8 @@
 
 type worker struct {
 	state                 pv.WorkerState
-	stateKnown            bool // state was reported to this leader
+	stateKnown            bool  // state was reported to this leader
+	addressIncarnation    int64 // whose address state holds, if stateKnown is false
 	incarnationCount      int64
 	fencingToken          int64
 	fencingTokenConfirmed bool          // this incarnation has answered a poll under fencingToken
