--- a/planner/lease.go
+++ b/planner/lease.go
@@ -81,13 +81,22 @@
 		case len(w.runs) == 0:
 			p.resumeRenewal(w)
 		case w.renewal == suspended && now.Sub(w.leaseRecordedAt) >= leaseRecordInterval,
-			w.renewal == renewing && now.Sub(w.heardAt) >= suspendAfter && now.Sub(p.tickingSince) >= suspendAfter:
+			w.renewal == renewing && now.Sub(w.heardAt) >= p.maxSilence(w) && now.Sub(p.tickingSince) >= suspendAfter:
 			p.leaseRecordsDue[w] = true
 			w.leaseRecordedAt = now
 		}
 	}
 }
 
+// maxSilence returns how long a worker may be silent until its lease is suspended. A new leader
+// waits longer for the first answer, since it links to all supervisors at once.
+func (p *Planner) maxSilence(w *worker) time.Duration {
+	if w.clockReceivedAt.IsZero() {
+		return p.settings.MaxReportAge
+	}
+	return suspendAfter
+}
+
 // resumeRenewal marks the removal of the worker's lease record as due, if there is one.
 func (p *Planner) resumeRenewal(w *worker) {
 	switch w.renewal {
--- a/planner/lease_test.go
+++ b/planner/lease_test.go
@@ -212,3 +212,16 @@
 		t.Errorf("got the lease lapsed for the successor %v before it is for the leader, want not before", want.Sub(got))
 	}
 }
+
+// A new leader that gets the first poll results late suspended the leases of all workers, and
+// these got no starts until the records were removed.
+func TestNewLeaderWaitsForFirstPollResults(t *testing.T) {
+	h := newLeaseHarness(t)
+	h.runFor(time.Second, "w")
+	next := h.successor()
+	next.runFor(next.p.settings.MaxReportAge - 2*tickTime)
+	next.reportPoll("w", 1, PollResult{Running: []pv.RunStatus{{Run: runOf("j", 0, 0, 1)}}})
+	if o, _ := next.p.Orders(next.now, "w", allPermissions); o.Lease.End == 0 {
+		t.Error("got no lease with the first orders after the first poll result, want one")
+	}
+}
