--- a/planner/lease.go
+++ b/planner/lease.go
@@ -22,7 +22,7 @@
 const leasePrefix = "lease/"
 
 const (
-	suspendAfter        = time.Second            // since the worker's last poll result: twice the longest time between two
+	suspendAfter        = time.Second            // since the worker's last poll result
 	leaseRecordInterval = 500 * time.Millisecond // between two records of a lease; a successor waits longer by at most this
 	leasePassInterval   = 100 * time.Millisecond // between two searches for leases to suspend
 	maxTickGap          = 250 * time.Millisecond // between ticks, above which the leader itself was stopped or slow
