--- /dev/null
+++ b/review/rig-2/cases.go
@@ -0,0 +1,334 @@
+//go:build reviewrig
+
+package main
+
+// This file defines the cases and their checks.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// cases are the cases by name. A case returns errBroken if its rule was broken.
+var cases = map[string]func(s *site, trouble bool) error{
+	"deregister": caseDeregister,
+	"filler":     caseFiller,
+	"crashes":    caseCrashes,
+	"gang":       caseGang,
+	"services":   caseServices,
+}
+
+// Sizes of a worker, as in the site files.
+const (
+	workerCores  = 32000
+	workerMemory = 128000
+	finishTime   = 14 * time.Second // finish_s
+)
+
+// startSite starts two gateways and waits until submissions are accepted.
+func startSite(s *site) error {
+	for n := 1; n <= 2; n++ {
+		if err := s.addGateway(n); err != nil {
+			return err
+		}
+	}
+	return s.await("a leader answers", 20*time.Second, func() bool {
+		status, _ := s.call(0, http.MethodGet, firstPrefix, nil, requesterBudget)
+		return status == http.StatusOK
+	})
+}
+
+// addWorkers adds workers of the usual size to a service.
+func addWorkers(s *site, service string, first, count int) error {
+	for n := first; n < first+count; n++ {
+		if _, _, err := s.addWorker(n, fmt.Sprintf("i-%02d7f3a91c2", 10+n), service, fmt.Sprintf("r1-%d", (n-1)/3+1), workerCores, workerMemory, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// losingDeregistrations starts a proxy that passes a worker's messages on. If lose is set, it
+// resets the connection of a deregistration once the supervisor has answered.
+func losingDeregistrations(s *site, listen, control string, lose bool) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		panic(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: control})
+	proxy.Transport = &http.Transport{DisableKeepAlives: true}
+	proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { resetConnection(w) }
+	proxy.ModifyResponse = func(r *http.Response) error {
+		if strings.Contains(r.Request.URL.Path, "Deregister") && lose {
+			s.rec.addf("%s is answered with %d; the answer is lost, the channel is reset", r.Request.URL.Path, r.StatusCode)
+			_, _ = io.Copy(io.Discard, r.Body)
+			return errors.New("answer lost")
+		}
+		return nil
+	}
+	go func() { _ = http.Serve(l, proxy) }()
+}
+
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// caseDeregister: a worker is emptied and taken away. The answer to its deregistration is
+// lost as its channel is reset. It has no ack, and ends some seconds later.
+func caseDeregister(s *site, trouble bool) error {
+	const (
+		drainTime = 2500 * time.Millisecond // drainMs
+		lateEnd   = 3 * time.Second         // of a worker without an ack
+		job       = "5c0e7a21d94b36f8"
+	)
+	s.configure(7, route("r-1", firstPrefix, firstService, 0))
+	if err := startSite(s); err != nil {
+		return err
+	}
+	for n := 1; n <= 8; n++ {
+		proxy := func(listen, control string) { losingDeregistrations(s, listen, control, trouble) }
+		if _, _, err := s.addWorker(n, fmt.Sprintf("i-%02d7f3a91c2", 10+n), firstService, "r1-1", workerCores, workerMemory, proxy); err != nil {
+			return err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	if err := s.submit(firstPrefix, job, map[string]any{"spec": "run=25000", "phases": []any{map[string]any{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 20000}}}); err != nil {
+		return err
+	}
+	if err := s.await("the task runs", 5*time.Second, func() bool { return len(s.goingOn(job)) == 1 }); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	leaving := s.goingOn(job)[0].worker
+	for _, w := range s.workers {
+		if w.id != leaving {
+			continue
+		}
+		w.drain()
+		time.Sleep(drainTime + 500*time.Millisecond)
+		s.rec.addf("worker %s deregisters", w.id)
+		sentAt := time.Now()
+		path, body := "/Instances.Deregister/"+w.id, map[string]any{"born": w.bornAt.UnixMilli()}
+		if err := w.post(path, body, heartbeatTimeout); err != nil {
+			s.rec.addf("worker %s has no ack of its deregistration: %v; it ends %v after it", w.id, err, lateEnd)
+			time.Sleep(time.Until(sentAt.Add(lateEnd)))
+		}
+		w.leave()
+	}
+	if err := s.await("the task runs on another worker", 15*time.Second, func() bool { return len(s.goingOn(job)) == 1 }); err != nil {
+		return err
+	}
+	runs := s.runsOf(job)
+	for i, a := range runs {
+		for _, b := range runs[:i] {
+			if overlap := b.endedAt.Sub(a.startedAt); a.worker != b.worker && !b.endedAt.IsZero() && overlap > 0 {
+				return brokenf("TWICE: %s ran as #%d on %s and as #%d on %s at the same time, for %v", a.task, b.attempt, b.worker, a.attempt, a.worker, overlap.Round(time.Millisecond))
+			}
+		}
+	}
+	return nil
+}
+
+// caseFiller: tasks that last and fill run on all workers. One worker is lost for good. Some
+// of its tasks are never restarted, although the others have room for them.
+func caseFiller(s *site, trouble bool) error {
+	const (
+		tasks   = 24 // of each of two submissions
+		bound   = 9 * time.Second
+		observe = 25 * time.Second
+	)
+	jobs := []string{"5c0e7a21d94b36f8", "6c0e7a21d94b36f8"}
+	s.configure(7, route("r-1", firstPrefix, firstService, 0))
+	if err := startSite(s); err != nil {
+		return err
+	}
+	if err := addWorkers(s, firstService, 1, 8); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	for _, job := range jobs {
+		step := map[string]any{"count": tasks, "cpu": 7000, "memMb": 6400, "estimateMs": 1000, "persistent": true, "fills": true, "image": "b"}
+		if err := s.submit(firstPrefix, job, map[string]any{"spec": "run=0", "phases": []any{step}}); err != nil {
+			return err
+		}
+	}
+	if err := s.await("all tasks run", 10*time.Second, func() bool { return len(s.goingOn("")) == len(jobs)*tasks }); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		s.workers[7].crash()
+	}
+	time.Sleep(observe)
+	ends, on := map[string]time.Time{}, map[string]bool{}
+	for _, r := range s.runsOf("") {
+		if r.endedAt.IsZero() {
+			on[r.task] = true
+		} else if r.endedAt.After(ends[r.task]) {
+			ends[r.task] = r.endedAt
+		}
+	}
+	idle := 0
+	for task, at := range ends {
+		if !on[task] && time.Since(at) > bound {
+			s.rec.addf("task %s has not run for %v", task, time.Since(at).Round(time.Millisecond))
+			idle++
+		}
+	}
+	if idle > 0 {
+		return brokenf("LOST: %d of %d tasks that last have not run for more than %v, with room for them on 7 workers", idle, len(jobs)*tasks, bound)
+	}
+	return nil
+}
+
+// caseCrashes: the only worker that has a task's label crashes five times in a row. The task
+// is in its first second each time.
+func caseCrashes(s *site, trouble bool) error {
+	const (
+		job     = "5c0e7a21d94b36f8"
+		crashes = 5
+		down    = 2 * time.Second
+		runTime = 600 * time.Millisecond // of the task until the crash
+	)
+	s.configure(7, route("r-1", firstPrefix, firstService, 0))
+	if err := startSite(s); err != nil {
+		return err
+	}
+	if err := addWorkers(s, firstService, 1, 7); err != nil {
+		return err
+	}
+	labelled, _, err := s.addWorker(8, "i-187f3a91c2", firstService, "r1-9", workerCores, workerMemory, nil)
+	if err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	step := map[string]any{"count": 1, "cpu": 3500, "memMb": 6400, "estimateMs": 4000, "requiredLabel": "r1-9"}
+	if err := s.submit(firstPrefix, job, map[string]any{"spec": "run=4000", "phases": []any{step}}); err != nil {
+		return err
+	}
+	for n := 1; trouble && n <= crashes; n++ {
+		if err := s.await("the task runs", 15*time.Second, func() bool { return len(s.goingOn(job)) == 1 }); err != nil {
+			break // it isn't started again
+		}
+		time.Sleep(runTime)
+		labelled.crash()
+		time.Sleep(down)
+		if err := labelled.start(fmt.Sprintf("i-18%d7f3a91c", n)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(10 * time.Second)
+	status, state := s.state(firstPrefix, job)
+	failed := 0
+	for _, r := range s.runsOf(job) {
+		if r.how == "failed" {
+			failed++
+		}
+	}
+	if state == "failed" {
+		return brokenf("LOST: the submission is shown as failed; %d of its %d runs ended failed", failed, len(s.runsOf(job)))
+	}
+	if state != "completed" {
+		return fmt.Errorf("the submission is shown as %d %q", status, state)
+	}
+	return nil
+}
+
+// caseGang: a gang with at most one task on a worker is submitted. A larger worker has been
+// added to the service.
+func caseGang(s *site, trouble bool) error {
+	const job = "5c0e7a21d94b36f8"
+	s.configure(7, route("r-1", firstPrefix, firstService, 0))
+	if err := startSite(s); err != nil {
+		return err
+	}
+	if err := addWorkers(s, firstService, 1, 4); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		if _, _, err := s.addWorker(9, "i-097f3a91c2", firstService, "r1-2", workerCores*3/2, workerMemory*3/2, nil); err != nil {
+			return err
+		}
+		time.Sleep(3 * time.Second)
+	}
+	step := map[string]any{"count": 4, "cpu": 20000, "memMb": 6400, "estimateMs": 2000, "gang": true, "maxPerServer": 1}
+	if err := s.submit(firstPrefix, job, map[string]any{"spec": "run=2000;gang=4", "phases": []any{step}}); err != nil {
+		return err
+	}
+	if err := s.await("the gang has ended", 15*time.Second, func() bool {
+		runs := s.runsOf(job)
+		return len(runs) >= 4 && len(s.goingOn(job)) == 0
+	}); err != nil {
+		return err
+	}
+	count := map[string]int{}
+	for _, r := range s.runsOf(job) {
+		key := fmt.Sprintf("%s, start %d", r.worker, r.attempt)
+		if count[key]++; count[key] > 1 {
+			return brokenf("ROUTE: %d tasks of a step with maxPerServer 1 ran at the same time on worker %s", count[key], key)
+		}
+	}
+	return nil
+}
+
+// caseServices: many users come at once to one service. A submission to another service,
+// which is mostly idle, isn't started until they are served.
+func caseServices(s *site, trouble bool) error {
+	const (
+		secondService = "huvo12b"
+		watch         = "7c0e7a21d94b36f8"
+		plan          = "8c0e7a21d94b36f8"
+		taskTime      = 60000 // milliseconds, of the tasks of the busy service
+		idleBound     = 3 * time.Second
+	)
+	s.configure(7, route("r-1", firstPrefix, firstService, 0), route("r-2", secondPrefix, secondService, 0))
+	if err := startSite(s); err != nil {
+		return err
+	}
+	if err := addWorkers(s, firstService, 1, 6); err != nil {
+		return err
+	}
+	if err := addWorkers(s, secondService, 7, 2); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	lasting := map[string]any{"count": 2, "cpu": 6400, "memMb": 13000, "estimateMs": 400, "persistent": true, "targetMs": 24, "image": "w", "maxPerServer": 1}
+	if err := s.submit(secondPrefix, watch, map[string]any{"spec": "run=0;tail=12", "phases": []any{lasting}}); err != nil {
+		return err
+	}
+	submissions := 7 // 98 of the 256 cores
+	if trouble {
+		submissions = 13 // 182 of them
+	}
+	for n := range submissions {
+		step := map[string]any{"count": 4, "cpu": 3500, "memMb": 6400, "estimateMs": taskTime}
+		if err := s.submit(firstPrefix, fmt.Sprintf("9c0e7a21d94b%04x", n), map[string]any{"spec": fmt.Sprintf("run=%d", taskTime), "phases": []any{step}}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	fills := map[string]any{"count": 1, "cpu": 3500, "memMb": 6400, "estimateMs": 1700, "fills": true, "image": "b", "checkpointable": true}
+	if err := s.submit(secondPrefix, plan, map[string]any{"spec": "run=1700", "phases": []any{fills}}); err != nil {
+		return err
+	}
+	time.Sleep(finishTime + idleBound)
+	if runs := s.runsOf(plan); len(runs) == 0 {
+		return brokenf("LOST: %v after the end of the traffic the submission has never run; 12.8 of its service's 64 cores are in use", finishTime+idleBound)
+	}
+	return nil
+}
