--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -5,24 +5,20 @@
 // This file defines the cases and their checks.
 
 import (
-	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
-	"strings"
+	"syscall"
 	"time"
 )
 
 // cases are the cases by name. A case returns errBroken if its rule was broken.
 var cases = map[string]func(s *site, trouble bool) error{
 	"deregister": caseDeregister,
+	"stale":      caseStale,
 	"filler":     caseFiller,
 	"crashes":    caseCrashes,
-	"gang":       caseGang,
 	"services":   caseServices,
+	"gang":       caseGang,
 }
 
 // Sizes of a worker, as in the site files.
@@ -55,38 +51,6 @@
 	return nil
 }
 
-// losingDeregistrations starts a proxy that passes a worker's messages on. If lose is set, it
-// resets the connection of a deregistration once the supervisor has answered.
-func losingDeregistrations(s *site, listen, control string, lose bool) {
-	l, err := net.Listen("tcp", listen)
-	if err != nil {
-		panic(err)
-	}
-	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: control})
-	proxy.Transport = &http.Transport{DisableKeepAlives: true}
-	proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { resetConnection(w) }
-	proxy.ModifyResponse = func(r *http.Response) error {
-		if strings.Contains(r.Request.URL.Path, "Deregister") && lose {
-			s.rec.addf("%s is answered with %d; the answer is lost, the channel is reset", r.Request.URL.Path, r.StatusCode)
-			_, _ = io.Copy(io.Discard, r.Body)
-			return errors.New("answer lost")
-		}
-		return nil
-	}
-	go func() { _ = http.Serve(l, proxy) }()
-}
-
-func resetConnection(w http.ResponseWriter) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // caseDeregister: a worker is emptied and taken away. The answer to its deregistration is
 // lost as its channel is reset. It has no ack, and ends some seconds later.
 func caseDeregister(s *site, trouble bool) error {
@@ -100,8 +64,8 @@
 		return err
 	}
 	for n := 1; n <= 8; n++ {
-		proxy := func(listen, control string) { losingDeregistrations(s, listen, control, trouble) }
-		if _, _, err := s.addWorker(n, fmt.Sprintf("i-%02d7f3a91c2", 10+n), firstService, "r1-1", workerCores, workerMemory, proxy); err != nil {
+		p := &proxy{rec: s.rec, losingDeregisters: trouble}
+		if _, _, err := s.addWorker(n, fmt.Sprintf("i-%02d7f3a91c2", 10+n), firstService, "r1-1", workerCores, workerMemory, p); err != nil {
 			return err
 		}
 	}
@@ -143,6 +107,82 @@
 	return nil
 }
 
+// caseStale: a worker's check-in is held up by a partition. The worker crashes and starts again
+// under its id. Its supervisor is stopped and started, and then the check-in arrives.
+func caseStale(s *site, trouble bool) error {
+	const (
+		label       = "r1-9"
+		id          = "i-187f3a91c2"
+		down        = 1500 * time.Millisecond
+		submissions = 20
+		interval    = 100 * time.Millisecond // between two of them
+		bound       = 4 * time.Second        // 3 s, and some time for the call
+	)
+	s.configure(7, route("r-1", firstPrefix, firstService, 0))
+	if err := startSite(s); err != nil {
+		return err
+	}
+	if err := addWorkers(s, firstService, 1, 7); err != nil {
+		return err
+	}
+	p := &proxy{rec: s.rec}
+	labelled, supervisor, err := s.addWorker(8, id, firstService, label, workerCores, workerMemory, p)
+	if err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		if err := p.holdNext(s); err != nil {
+			return err
+		}
+	}
+	labelled.crash()
+	time.Sleep(down)
+	if err := labelled.start(id); err != nil {
+		return err
+	}
+	time.Sleep(heartbeatInterval)
+	s.rec.addf("SIGTERM for %s", supervisor.node)
+	_ = supervisor.command.Process.Signal(syscall.SIGTERM)
+	<-supervisor.exited
+	if err := s.run(supervisor); err != nil {
+		return err
+	}
+	s.rec.addf("%s runs again", supervisor.node)
+	if trouble {
+		go p.releaseHeld()
+	}
+	errs := make(chan error, submissions)
+	for n := range submissions {
+		step := map[string]any{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 500, "requiredLabel": label}
+		go func() {
+			errs <- s.submit(firstPrefix, numberedJob(n), map[string]any{"spec": "run=500", "phases": []any{step}})
+		}()
+		time.Sleep(interval)
+	}
+	for range submissions {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	time.Sleep(finishTime + bound)
+	lost := 0
+	for n := range submissions {
+		if len(s.runsOf(numberedJob(n))) == 0 {
+			_, state := s.state(firstPrefix, numberedJob(n))
+			s.rec.addf("%s has never run, its state is %q", numberedJob(n), state)
+			lost++
+		}
+	}
+	if lost > 0 {
+		return brokenf("LOST: %d of %d accepted submissions have never run %v after the end of the traffic, on an idle worker", lost, submissions, finishTime+bound)
+	}
+	return nil
+}
+
+// numberedJob returns the id of a submission of a series.
+func numberedJob(n int) string { return fmt.Sprintf("9c0e7a21d94b%04x", n) }
+
 // caseFiller: tasks that last and fill run on all workers. One worker is lost for good. Some
 // of its tasks are never restarted, although the others have room for them.
 func caseFiller(s *site, trouble bool) error {
@@ -286,14 +326,13 @@
 	return nil
 }
 
-// caseServices: many users come at once to one service. A submission to another service,
-// which is mostly idle, isn't started until they are served.
+// caseServices: many users come at once to one service, with tasks that last. A submission to
+// another service, which is mostly idle, isn't started as long as they do.
 func caseServices(s *site, trouble bool) error {
 	const (
 		secondService = "huvo12b"
 		watch         = "7c0e7a21d94b36f8"
 		plan          = "8c0e7a21d94b36f8"
-		taskTime      = 60000 // milliseconds, of the tasks of the busy service
 		idleBound     = 3 * time.Second
 	)
 	s.configure(7, route("r-1", firstPrefix, firstService, 0), route("r-2", secondPrefix, secondService, 0))
@@ -316,8 +355,8 @@
 		submissions = 13 // 182 of them
 	}
 	for n := range submissions {
-		step := map[string]any{"count": 4, "cpu": 3500, "memMb": 6400, "estimateMs": taskTime}
-		if err := s.submit(firstPrefix, fmt.Sprintf("9c0e7a21d94b%04x", n), map[string]any{"spec": fmt.Sprintf("run=%d", taskTime), "phases": []any{step}}); err != nil {
+		step := map[string]any{"count": 4, "cpu": 3500, "memMb": 6400, "estimateMs": 400, "persistent": true}
+		if err := s.submit(firstPrefix, numberedJob(n), map[string]any{"spec": "run=0", "phases": []any{step}}); err != nil {
 			return err
 		}
 	}
--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -161,24 +161,24 @@
 
 // addWorker starts a supervisor with the command of the deploy file, and its worker. The
 // worker sends its check-ins to the control address, or through a proxy to it.
-func (s *site) addWorker(n int, id, service, rack string, cpu, mem int, proxy func(listen, control string)) (*worker, *process, error) {
+func (s *site) addWorker(n int, id, service, rack string, cpu, mem int, p *proxy) (*worker, *process, error) {
 	at := func(port int) string { return s.address(firstSide+n, port) }
 	control, app := at(controlPort), at(workerPort)
-	p := &process{node: fmt.Sprintf("side-sur-mvd-%d", n), program: "target/pvalve-supervisor"}
-	p.args = []string{
-		"--node", p.node, "--region", "sur", "--control-address", control, "--link-address", at(linkPort),
+	supervisor := &process{node: fmt.Sprintf("side-sur-mvd-%d", n), program: "target/pvalve-supervisor"}
+	supervisor.args = []string{
+		"--node", supervisor.node, "--region", "sur", "--control-address", control, "--link-address", at(linkPort),
 		"--worker-address", app, "--store-address", s.storeAddr, "--grace", "6s", "--admin-address", at(adminPort),
 	}
-	if err := s.run(p); err != nil {
+	if err := s.run(supervisor); err != nil {
 		return nil, nil, err
 	}
-	if proxy != nil {
-		proxy(at(proxyPort), control)
+	if p != nil {
+		p.serve(at(proxyPort), control)
 		control = at(proxyPort)
 	}
 	w := &worker{site: s, address: app, control: control, service: service, rack: rack, cpu: cpu, mem: mem}
 	s.workers = append(s.workers, w)
-	return w, p, w.start(id)
+	return w, supervisor, w.start(id)
 }
 
 // route is a queue of the configuration.
