--- a/review/rig-2/doc.go
+++ b/review/rig-2/doc.go
@@ -10,8 +10,6 @@
 // 2 if the case couldn't run. With TROUBLE=0 in the environment the case runs without its
 // disruption.
 //
-// The case "gang" has no folder; review/REPORT-2.md tells of it.
-//
 // Files:
 //   - cases.go: the cases and their checks
 //   - main.go: command line, record and exit code
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -41,9 +41,6 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// since returns the time from the start of the case, in seconds.
-func (r *record) since(t time.Time) float64 { return t.Sub(r.start).Seconds() }
-
 // errBroken marks a case whose rule was broken.
 var errBroken = errors.New("rule broken")
 
--- a/review/rig-2/proxy.go
+++ b/review/rig-2/proxy.go
@@ -3,14 +3,13 @@
 package main
 
 // This file defines the proxy between a worker and the supervisor on its machine. It can
-// lose the answer to a deregistration, and hold one check-in back.
+// hold one check-in back.
 
 import (
 	"bytes"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -20,11 +19,10 @@
 	rec     *record
 	control string // of the supervisor
 
-	mu                sync.Mutex
-	losingDeregisters bool // the connection is reset once the supervisor has answered
-	holdingNext       bool // the next message is held back
-	heldPath          string
-	held              []byte // the message that is held back
+	mu          sync.Mutex
+	holdingNext bool // the next message is held back
+	heldPath    string
+	held        []byte // the message that is held back
 }
 
 // serve starts the proxy on an address.
@@ -45,7 +43,6 @@
 	}
 	p.mu.Lock()
 	hold := p.holdingNext
-	lose := p.losingDeregisters && strings.Contains(r.URL.Path, "Deregister")
 	if hold {
 		p.holdingNext, p.heldPath, p.held = false, r.URL.Path, body
 	}
@@ -56,15 +53,11 @@
 		return
 	}
 	status, err := p.forward(r.URL.Path, body)
-	switch {
-	case err != nil:
-		resetConnection(w)
-	case lose:
-		p.rec.addf("%s is answered with %d; the answer is lost, the channel is reset", r.URL.Path, status)
+	if err != nil {
 		resetConnection(w)
-	default:
-		answer(w, status, map[string]any{})
+		return
 	}
+	answer(w, status, map[string]any{})
 }
 
 func (p *proxy) forward(path string, body []byte) (status int, err error) {
--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -46,7 +46,9 @@
 	storeAddr string
 	store     *store
 	gateways  []*gatewayProcess
-	workers   []*worker
+	// supervisorLead is the time from the start of a supervisor to that of its worker.
+	supervisorLead time.Duration
+	workers        []*worker
 
 	mu        sync.Mutex
 	processes []*process
@@ -172,6 +174,7 @@
 	if err := s.run(supervisor); err != nil {
 		return nil, nil, err
 	}
+	time.Sleep(s.supervisorLead)
 	if p != nil {
 		p.serve(at(proxyPort), control)
 		control = at(proxyPort)
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -83,6 +83,8 @@
 	up         bool
 	boot       int // counts boots; timers of former boots are ignored
 	bornAt     time.Time
+	bornUnixMS int64         // by the machine's time of day at the start
+	clockJump  time.Duration // of the machine's time of day, for born; the worker's own clock is steady
 	token      int64
 	leaseEnd   time.Duration
 	runs       map[runKey]*activeRun
@@ -90,8 +92,6 @@
 	ends       []runEnd
 	lastNumber int
 	sequence   int
-	draining   bool
-	refusing   bool // starts are refused with 503, everything else works
 	changed    chan struct{}
 }
 
@@ -107,7 +107,8 @@
 	defer w.mu.Unlock()
 	w.boot++
 	w.id, w.up, w.bornAt, w.token, w.leaseEnd = id, true, time.Now(), 0, 0
-	w.runs, w.highest, w.ends, w.lastNumber, w.sequence, w.draining = map[runKey]*activeRun{}, map[string]int{}, nil, 0, 0, false
+	w.bornUnixMS = w.bornAt.Add(w.clockJump).UnixMilli()
+	w.runs, w.highest, w.ends, w.lastNumber, w.sequence = map[runKey]*activeRun{}, map[string]int{}, nil, 0, 0
 	w.changed = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.order(w.handleStart))
@@ -127,17 +128,12 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}()
-	w.site.rec.addf("worker %s up at %s (service %s, %d millicores, %d MB)", id, w.address, w.service, w.cpu, w.mem)
+	w.site.rec.addf("worker %s up at %s (service %s, %d millicores, %d MB, born %d)", id, w.address, w.service, w.cpu, w.mem, w.bornUnixMS)
 	return nil
 }
 
 // crash ends the worker at once; its connections are reset.
-func (w *worker) crash() { w.end("lost with its worker") }
-
-// leave ends a worker that has deregistered.
-func (w *worker) leave() { w.end("ended with its worker") }
-
-func (w *worker) end(how string) {
+func (w *worker) crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.up {
@@ -146,7 +142,7 @@
 	w.up = false
 	w.boot++
 	for _, r := range w.runs {
-		w.site.ended(r.runKey, w.id, how)
+		w.site.ended(r.runKey, w.id, "lost with its worker")
 	}
 	w.runs = nil
 	_ = w.server.Close()
@@ -160,17 +156,11 @@
 		return false
 	}
 	w.sequence++
-	state, id := "ready", w.id
-	if w.draining {
-		state = "draining"
-	}
+	id := w.id
 	body := map[string]any{
-		"service": w.service, "addr": w.address, "zone": "sur-mvd", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+		"service": w.service, "addr": w.address, "zone": "sur-mvd", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 		"capacity": map[string]int{"cpu": w.cpu, "memMb": w.mem, "gpu": 0}, "labels": []string{"a", w.rack},
-		"clockMs": w.clock().Milliseconds(), "seq": w.sequence, "born": w.bornAt.UnixMilli(),
-	}
-	if w.draining {
-		body["remainingMs"] = 2500
+		"clockMs": w.clock().Milliseconds(), "seq": w.sequence, "born": w.bornUnixMS,
 	}
 	w.mu.Unlock()
 	go func() { _ = w.post("/Instances.Heartbeat/"+id, body, heartbeatTimeout) }()
@@ -263,7 +253,7 @@
 			w.token = o.Token
 			status, body = handle(r, o)
 		}
-		body["clockMs"], body["born"] = w.clock().Milliseconds(), w.bornAt.UnixMilli()
+		body["clockMs"], body["born"] = w.clock().Milliseconds(), w.bornUnixMS
 		answer(rw, status, body)
 	}
 }
@@ -278,10 +268,6 @@
 
 func (w *worker) handleStart(_ *http.Request, o orderBody) (int, map[string]any) {
 	key := runKey{o.Task, o.Attempt}
-	if w.refusing {
-		w.site.rec.addf("worker %s refuses start %s#%d with 503", w.id, o.Task, o.Attempt)
-		return http.StatusServiceUnavailable, map[string]any{}
-	}
 	if o.UntilMS <= w.clock().Milliseconds() {
 		return conflict("late")
 	}
@@ -351,12 +337,3 @@
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
 }
-
-// drain makes the worker report that it drains.
-func (w *worker) drain() {
-	w.mu.Lock()
-	w.draining = true
-	w.mu.Unlock()
-	w.site.rec.addf("worker %s drains", w.id)
-	w.beat(w.boot)
-}
