planner: a standing filler waits for nothing but its own time

Cause: a filler that would be slow everywhere waits while the fleet is busy, while any run of its job goes on, or behind a task of its step that has waited for less than 1.2 s. Each concludes from other runs that capacity comes free or that the job makes progress. Standing runs don't end, so for standing fillers the wait may have no end. Fix: slowStarts decides by the task's own wait alone for standing fillers, and for batch fillers by runs that end by themselves. The passes go on past a task that still waits.

--- a/planner/fillers.go
+++ b/planner/fillers.go
@@ -1,8 +1,7 @@
 package planner
 
 // This file defines where fillers run: on workers where they reach most of their
-// full speed, and on others only when their job would otherwise make no progress
-// on a mostly idle fleet.
+// full speed, and on others only after a wait (slowStarts).
 
 import "time"
 
@@ -28,7 +27,7 @@
 const (
 	servingIdleFraction   = 0.5                     // fraction of their reserved cores that serving tasks leave idle on average
 	minStartSpeed         = 0.75                    // lowest speed, as a fraction of full speed, at which a filler starts without waiting
-	maxFillerWait         = 1200 * time.Millisecond // wait after which a filler of a job without progress starts on the best worker of a mostly idle fleet; it must start within 3 s
+	maxFillerWait         = 1200 * time.Millisecond // wait after which a filler may start on the best worker, however slow; it must start within 3 s
 	maxIdleFleetReserved  = 0.55                    // fraction of the fleet's cores; submitters regard a fleet as idle up to 0.5
 	minMigrationSpeedGain = 0.5                     // fraction of full speed that a filler with checkpoints must gain
 	minMigrationLimit     = 4                       // migrations per pass on a small fleet
@@ -85,18 +84,60 @@
 	return fraction(reserved, capacity) < maxIdleFleetReserved
 }
 
+// slowStarts decides in one placement pass which fillers start on a worker where they would
+// be slow. A filler that ends by itself can wait for the capacity that the end of another
+// brings. It may start slowly if its job would otherwise make no progress on a mostly idle
+// fleet. The wait of a standing filler has no such end: its siblings, and the serving tasks
+// that it would disturb, may run for as long as it. So it rests on nothing but its own wait.
+type slowStarts struct {
+	now         time.Time
+	fleetIdle   bool
+	progressing map[*job]bool // whether the jobs asked for make progress
+}
+
+func newSlowStarts(now time.Time, workers []*worker) *slowStarts {
+	return &slowStarts{now: now, fleetIdle: mostlyIdle(workers), progressing: map[*job]bool{}}
+}
+
+// allowed reports whether a waiting filler may start on a worker where it would be slow.
+func (s *slowStarts) allowed(t *task) bool {
+	if s.now.Sub(t.waitingSince) < maxFillerWait {
+		return false
+	}
+	return t.step.spec.Standing || s.fleetIdle && !s.progresses(t.step.job)
+}
+
+func (s *slowStarts) progresses(j *job) bool {
+	progresses, known := s.progressing[j]
+	if !known {
+		progresses = j.inProgress(s.now)
+		s.progressing[j] = progresses
+	}
+	return progresses
+}
+
+// noteStart records that a task is started in this pass.
+func (s *slowStarts) noteStart(t *task) {
+	if !t.step.spec.Standing {
+		s.progressing[t.step.job] = true
+	}
+}
+
 // progressTimeout is the age of a worker's last poll result at which its runs may be
 // lost, and the time that an assigned run has to start.
 const progressTimeout = time.Second
 
-// inProgress reports whether a run of the job has started or was assigned within
-// progressTimeout. Runs on silent workers don't count: they may be lost long before
-// the lease of the worker lapses.
+// inProgress reports whether a run of the job that ends by itself has started or was
+// assigned within progressTimeout. Runs on silent workers don't count: they may be lost
+// long before the lease of the worker lapses.
 func (j *job) inProgress(now time.Time) bool {
 	if j.openRuns == 0 {
 		return false
 	}
 	for _, s := range j.steps {
+		if s.spec.Standing {
+			continue
+		}
 		for _, t := range s.tasks {
 			r := t.run
 			if r == nil || r.stopping || now.Sub(r.worker.clockReceivedAt) >= progressTimeout {
--- a/planner/fillers_test.go
+++ b/planner/fillers_test.go
@@ -189,3 +189,129 @@
 		t.Errorf("got %d fillers that take %.2f of the slack, want some that take at most %.2f at %.2f of their speed", started, loss, headroomAfterSwing, minStartSpeed)
 	}
 }
+
+// standingFillers returns a step of standing fillers, of which five run at 0.8 of their full
+// speed on an empty worker of the harness, and a sixth one would make all run at 0.67.
+func standingFillers(count int) pv.Step {
+	s := stepWithTasks(count)
+	s.Filler, s.Standing, s.Size.MilliCores = true, true, 2000
+	return s
+}
+
+// pollEach reports a poll of each worker that lists all of its runs as running, and takes the
+// workers' orders.
+func (h *harness) pollEach(ids ...string) {
+	for _, id := range ids {
+		var running []pv.RunStatus
+		for r := range h.p.worker(h.now, pv.WorkerID(id)).runs {
+			running = append(running, pv.RunStatus{Run: r})
+		}
+		h.reportPoll(id, 1, PollResult{Running: running})
+		h.sendOrders(id)
+	}
+}
+
+// advanceUntil advances the time, while the workers answer polls, until done reports true.
+func (h *harness) advanceUntil(done func() bool, answering ...string) {
+	h.t.Helper()
+	for start := h.now; !done(); h.advance(100 * time.Millisecond) {
+		if h.now.Sub(start) > 20*time.Second {
+			h.t.Fatal("got no change within 20 s, want one")
+		}
+		h.pollEach(answering...)
+	}
+}
+
+// maxStandingWait is the time within which a standing task has to start where it fits.
+const maxStandingWait = 3 * time.Second
+
+// LOST: standing fillers of a lost worker were never started again where they would be slow,
+// for as long as others of their job ran.
+func TestStandingFillersOfLostWorker(t *testing.T) {
+	h := newHarness(t)
+	h.pollEach("u", "v", "w")
+	h.submit("f", standingFillers(15))
+	h.tickAndCommit()
+	h.pollEach("u", "v", "w")
+	if got, want := len(h.p.workers["w"].runs), 5; got != want {
+		t.Fatalf("got %d runs on the worker to be lost, want %d", got, want)
+	}
+	h.advanceUntil(func() bool { return len(h.p.workers["w"].runs) == 0 }, "u", "v")
+	for end := h.now.Add(maxStandingWait); h.now.Before(end); h.advance(100 * time.Millisecond) {
+		h.pollEach("u", "v")
+	}
+	if got, want := len(h.p.workers["u"].runs)+len(h.p.workers["v"].runs), 15; got != want {
+		t.Errorf("got %d standing fillers on the two workers that are left, want all %d", got, want)
+	}
+}
+
+// LOST: a standing filler waited on a fleet whose cores were reserved by serving tasks,
+// although it reserves no cores and they may run for as long as it.
+func TestStandingFillerOnBusyFleet(t *testing.T) {
+	h := newHarness(t)
+	h.pollEach("w")
+	serving := stepWithTasks(8)
+	serving.Standing, serving.LatencyTarget = true, 100*time.Millisecond
+	h.submit("s", serving)
+	h.tickAndCommit()
+	h.submit("f", standingFillers(2))
+	for end := h.now.Add(maxStandingWait); h.now.Before(end); h.advance(100 * time.Millisecond) {
+		h.pollEach("w")
+	}
+	if got, want := len(h.p.workers["w"].runs), 8+2; got != want {
+		t.Errorf("got %d runs on the worker without free cores, want %d", got, want)
+	}
+}
+
+// LOST: a standing filler waited for as long as siblings before it in its step failed one
+// after the other, since the pass over the step ended at one that had just begun to wait.
+func TestStandingFillerBehindFailingSiblings(t *testing.T) {
+	h := newHarness(t)
+	h.pollEach("w")
+	h.submit("s", stepWithTasks(8))
+	h.tickAndCommit()
+	h.pollEach("w")
+	const siblings = 6
+	h.submit("f", standingFillers(siblings+1))
+	tasks := h.p.jobs["f"].steps[0].tasks
+	h.advanceUntil(func() bool { return tasks[siblings].run != nil }, "w")
+	fail := func(i int) {
+		w := h.p.workers["w"]
+		h.reportPoll("w", 1, PollResult{Ended: []pv.RunEnd{{Sequence: w.appliedEnd + 1, Run: tasks[i].run.ref(), Kind: pv.EndFailed}}, EndsAbove: w.appliedEnd})
+		w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{} // other runs succeed meanwhile
+	}
+	fail(siblings)
+	start := h.now
+	for i := 0; tasks[siblings].run == nil; {
+		waited := h.now.Sub(start)
+		if waited > maxStandingWait {
+			t.Fatalf("got a standing filler that waits for more than %v, want it started", maxStandingWait)
+		}
+		if i < siblings && waited >= time.Duration(i)*(maxFillerWait-100*time.Millisecond) {
+			fail(i) // before the one that failed last is started again
+			i++
+		}
+		h.pollEach("w")
+		h.advance(50 * time.Millisecond)
+	}
+}
+
+// A batch filler waits for other runs of its job only if they end by themselves: not for a
+// standing step of the same job.
+func TestBatchFillerBesideStandingStep(t *testing.T) {
+	h := newHarness(t)
+	h.pollEach("w")
+	h.submit("s", stepWithTasks(4))
+	h.tickAndCommit()
+	h.pollEach("w")
+	standing, batch := stepWithTasks(1), stepWithTasks(2)
+	standing.Standing, standing.Size.MilliCores = true, 100
+	batch.Filler, batch.Size.MilliCores = true, 8000
+	h.submit("f", standing, batch)
+	for end := h.now.Add(maxStandingWait); h.now.Before(end); h.advance(100 * time.Millisecond) {
+		h.pollEach("w")
+	}
+	if got, want := len(h.p.workers["w"].runs), 4+1+1; got != want {
+		t.Errorf("got %d runs, want %d: one filler of the job, beside its standing task", got, want)
+	}
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -34,7 +34,7 @@
 		return
 	}
 	unplaceable := map[requirements]bool{} // met by no worker in this pass
-	fleetIdle := mostlyIdle(workers)
+	slow := newSlowStarts(now, workers)
 	for _, rs := range p.readySteps(now) {
 		if rs.step.spec.Gang {
 			p.placeGang(now, rs.step, workers)
@@ -48,19 +48,17 @@
 				t.waitingSince = now
 			}
 		}
+		slowEverywhere := false // an unsuspected filler of the step would be slow on its best worker
 		for _, t := range rs.step.tasks {
-			if !t.waiting() {
+			if !t.waiting() || slowEverywhere && !t.isSuspected() && !slow.allowed(t) {
 				continue
 			}
 			w := p.chooseWorker(t, workers)
-			// A step whose fillers would be slow waits for capacity, unless its job would make
-			// no progress on a mostly idle fleet.
-			if w != nil && rs.step.spec.Filler && p.fillerSpeed(w, rs.step.spec.Image, rs.step.spec.Size.MilliCores) < minStartSpeed &&
-				(!fleetIdle || now.Sub(t.waitingSince) < maxFillerWait || rs.step.job.inProgress(now)) {
-				if t.isSuspected() {
-					continue // other fillers have more workers to choose from
+			if w != nil && rs.step.spec.Filler && p.fillerSpeed(w, rs.step.spec.Image, rs.step.spec.Size.MilliCores) < minStartSpeed {
+				slowEverywhere = slowEverywhere || !t.isSuspected() // a suspected one has fewer workers to choose from
+				if !slow.allowed(t) {
+					continue
 				}
-				break
 			}
 			if w == nil && t.isSuspected() {
 				continue // other tasks may fit where a suspected one may not start
@@ -70,6 +68,7 @@
 				break
 			}
 			p.assign(now, t, w, t.attempt+1)
+			slow.noteStart(t)
 		}
 	}
 }
