planner: a filler waits while its own service is busy, not another

Cause: whether a filler may start slowly depended on the reserved cores of all services. Fix: slowStarts sums over the workers of the task's service. Test: TestFillerOfIdleServiceBesideBusyOne failed before (3 runs on the idle service's worker, want 4).

--- a/planner/fillers.go
+++ b/planner/fillers.go
@@ -28,7 +28,7 @@
 	servingIdleFraction   = 0.5                     // fraction of their reserved cores that serving tasks leave idle on average
 	minStartSpeed         = 0.75                    // lowest speed, as a fraction of full speed, at which a filler starts without waiting
 	maxFillerWait         = 1200 * time.Millisecond // wait after which a filler may start on the best worker, however slow; it must start within 3 s
-	maxIdleFleetReserved  = 0.55                    // fraction of the fleet's cores; submitters regard a fleet as idle up to 0.5
+	maxIdleReserved       = 0.55                    // fraction of a service's cores; submitters regard a service as idle up to 0.5
 	minMigrationSpeedGain = 0.5                     // fraction of full speed that a filler with checkpoints must gain
 	minMigrationLimit     = 4                       // migrations per pass on a small fleet
 	workersPerMigration   = 3                       // workers for each migration that one pass may make on a large fleet
@@ -73,30 +73,34 @@
 	}
 }
 
-// mostlyIdle reports whether the reserved fraction of the workers' cores is below
-// maxIdleFleetReserved. On such a fleet a job without running tasks shouldn't wait.
-func mostlyIdle(workers []*worker) bool {
-	reserved, capacity := int64(0), int64(0)
+// mostlyIdleServices returns the services of which the reserved fraction of their workers'
+// cores is below maxIdleReserved. A job of such a service shouldn't wait without running tasks.
+func mostlyIdleServices(workers []*worker) map[string]bool {
+	reserved, capacity := map[string]int64{}, map[string]int64{}
 	for _, w := range workers {
-		reserved += w.reserved.MilliCores
-		capacity += w.state.Capacity.MilliCores
+		reserved[w.state.Service] += w.reserved.MilliCores
+		capacity[w.state.Service] += w.state.Capacity.MilliCores
 	}
-	return fraction(reserved, capacity) < maxIdleFleetReserved
+	idle := map[string]bool{}
+	for service := range capacity {
+		idle[service] = fraction(reserved[service], capacity[service]) < maxIdleReserved
+	}
+	return idle
 }
 
 // slowStarts decides in one placement pass which fillers start on a worker where they would
 // be slow. A filler that ends by itself can wait for the capacity that the end of another
 // brings. It may start slowly if its job would otherwise make no progress on a mostly idle
-// fleet. The wait of a standing filler has no such end: its siblings, and the serving tasks
+// service. The wait of a standing filler has no such end: its siblings, and the serving tasks
 // that it would disturb, may run for as long as it. So it rests on nothing but its own wait.
 type slowStarts struct {
-	now         time.Time
-	fleetIdle   bool
-	progressing map[*job]bool // whether the jobs asked for make progress
+	now          time.Time
+	idleServices map[string]bool
+	progressing  map[*job]bool // whether the jobs asked for make progress
 }
 
 func newSlowStarts(now time.Time, workers []*worker) *slowStarts {
-	return &slowStarts{now: now, fleetIdle: mostlyIdle(workers), progressing: map[*job]bool{}}
+	return &slowStarts{now: now, idleServices: mostlyIdleServices(workers), progressing: map[*job]bool{}}
 }
 
 // allowed reports whether a waiting filler may start on a worker where it would be slow.
@@ -104,7 +108,7 @@
 	if s.now.Sub(t.waitingSince) < maxFillerWait {
 		return false
 	}
-	return t.step.spec.Standing || s.fleetIdle && !s.progresses(t.step.job)
+	return t.step.spec.Standing || s.idleServices[t.step.job.queue.Service] && !s.progresses(t.step.job)
 }
 
 func (s *slowStarts) progresses(j *job) bool {
--- a/planner/fillers_test.go
+++ b/planner/fillers_test.go
@@ -315,3 +315,34 @@
 		t.Errorf("got %d runs, want %d: one filler of the job, beside its standing task", got, want)
 	}
 }
+
+// LOST: a filler of an idle service waited for as long as the workers of another service were
+// busy.
+func TestFillerOfIdleServiceBesideBusyOne(t *testing.T) {
+	h := newHarness(t)
+	serving := func(service, job string, count int) pv.Queue {
+		queue := testQueue
+		queue.Name, queue.Service = "queue of "+service, service
+		s := stepWithTasks(count)
+		s.Standing, s.LatencyTarget, s.Image = true, 100*time.Millisecond, "serving"
+		h.submitTo(queue, job, s)
+		return queue
+	}
+	for _, id := range []string{"u", "v", "w"} {
+		h.services[pv.WorkerID(id)] = "busy"
+	}
+	h.services["x"] = "idle"
+	h.pollEach("u", "v", "w", "x")
+	serving("busy", "b", 23)
+	idle := serving("idle", "i", 3)
+	h.tickAndCommit()
+	filler := stepWithTasks(1)
+	filler.Filler, filler.Size.MilliCores = true, 8000
+	h.submitTo(idle, "f", filler)
+	for end := h.now.Add(maxStandingWait); h.now.Before(end); h.advance(100 * time.Millisecond) {
+		h.pollEach("u", "v", "w", "x")
+	}
+	if got, want := len(h.p.workers["x"].runs), 3+1; got != want {
+		t.Errorf("got %d runs on the worker of the mostly idle service, want %d", got, want)
+	}
+}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -18,21 +19,23 @@
 
 // harness drives a planner with reports made by the test.
 type harness struct {
-	t       *testing.T
-	p       *Planner
-	now     time.Time
-	clocks  map[pv.WorkerID]time.Duration
-	records map[string][]byte
-	address netip.AddrPort // of workers that report
+	t        *testing.T
+	p        *Planner
+	now      time.Time
+	clocks   map[pv.WorkerID]time.Duration
+	records  map[string][]byte
+	address  netip.AddrPort         // of workers that report
+	services map[pv.WorkerID]string // of workers that aren't of the test queue's service
 }
 
 func newHarness(t *testing.T) *harness {
 	now := time.Unix(1_800_000_000, 0)
-	return &harness{t: t, p: New(DefaultSettings(), 1), now: now, clocks: map[pv.WorkerID]time.Duration{}, records: map[string][]byte{}}
+	return &harness{t: t, p: New(DefaultSettings(), 1), now: now, clocks: map[pv.WorkerID]time.Duration{}, records: map[string][]byte{}, services: map[pv.WorkerID]string{}}
 }
 
 func (h *harness) workerState(id string, incarnation int64) pv.WorkerState {
-	return pv.WorkerState{ID: pv.WorkerID(id), Service: "s", Incarnation: incarnation, Capacity: pv.Resources{MilliCores: 8000, MemoryMB: 8000}, Address: h.address}
+	service := cmp.Or(h.services[pv.WorkerID(id)], testQueue.Service)
+	return pv.WorkerState{ID: pv.WorkerID(id), Service: service, Incarnation: incarnation, Capacity: pv.Resources{MilliCores: 8000, MemoryMB: 8000}, Address: h.address}
 }
 
 // reportPoll reports a poll of the worker under its current token.
@@ -67,13 +70,15 @@
 	h.tickAndCommit()
 }
 
-func (h *harness) submit(id string, steps ...pv.Step) {
+func (h *harness) submit(id string, steps ...pv.Step) { h.submitTo(testQueue, id, steps...) }
+
+func (h *harness) submitTo(queue pv.Queue, id string, steps ...pv.Step) {
 	job := pv.Job{ID: pv.JobID(id), Steps: steps}
 	raw, err := json.Marshal(job)
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.p.Submit(h.now, job, raw, testQueue)
+	h.p.Submit(h.now, job, raw, queue)
 }
 
 // sendOrders takes the worker's orders and returns the runs that they start.
