supervisor: log the lease that polls carry to another incarnation

A poll that reaches another incarnation of its worker carries a lease worked out on the clock of the former one. The log now prints that lease and the reached clock, and the lease of failed polls. The incarnations' clocks begin at any reading, not at nought.

--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -108,6 +108,9 @@
 // handlePoll handles the result of a poll and reports it to the leader. It returns
 // whether the worker listed ends. The worker lists an end until that is acknowledged.
 func (v *Supervisor) handlePoll(q pollRequest, runs pv.WorkerRuns, err error) bool {
+	if err == nil && runs.Incarnation != q.incarnation {
+		v.logger.Warn("supervisor: poll reached another incarnation", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Int64("reachedLife", runs.Incarnation), zap.Duration("clock", runs.Clock), zap.Duration("leaseEnd", q.lease.End))
+	}
 	if q.incarnation != v.state.Incarnation {
 		return false
 	}
@@ -119,7 +122,7 @@
 				v.brokenAt = time.Now()
 			}
 			recent, unlisted := v.recentStarts()
-			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Stringers("startedShortlyBefore", recent), zap.Int("unlisted", unlisted), logfield.Error(err))
+			v.logger.Warn("supervisor: worker poll failed; retrying", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Stringers("startedShortlyBefore", recent), zap.Int("unlisted", unlisted), zap.Duration("leaseEnd", q.lease.End), logfield.Error(err))
 			v.reportUnanswered()
 		}
 		v.metrics.pollFailures.Inc()
