supervisor, planner: a lease or start for a former incarnation doesn't outlive what the leader counts on

Cause: calls name the worker's id, not its incarnation. A poll that was repeated, in flight or late carried a lease end on the former incarnation's clock to the next one. Where that lay ahead of its clock, the worker granted its longest lease, 10 s, and a lease never shortens. The leader counted on the 6 s that it had renewed. A start in flight or late took effect on the next incarnation likewise, and the leader took its run for lapsed with the former lease.

Fix: types say which incarnation a value belongs to. - incarnationLease in the planner tells the lease that a run may count on (granted) from the one after which it has certainly lapsed (longest). The longest includes what calls for a former incarnation may have left: MaxLease (--max-lease) from the reading at which the incarnation first answered a poll. Supervisors report that reading, so a new leader doesn't begin anew; OrphanTimeout covers it for workers that a leader never reaches. - incarnationLease in the supervisor sends the end only to the incarnation that has answered the last poll. The low bits of a call's fencing token count incarnations: a new one is polled under a higher token at once, refuses former calls from then on, and what it has started for them is stopped, without waiting for a leader. A heartbeat of the new incarnation ends a poll that waits for the former one.

Tests changed: TestNoCallUnderLeaseOfAnotherIncarnation took any call under the former lease for a fault. Stops and polls under its token are needed now and carry no end: it checks that no start is sent and that no call has an end. TestOrdersEndWithTheirIncarnation and TestNewIncarnationStartsWithoutState check likewise that no end and no acknowledgement is sent, and that tokens are above the former ones. The planner's harness reports workers that refuse former calls since long before, as those of a running site do; its bounds are the same. The stand-in worker accepts leases of 10 s in place of 6 s, the longer one of the sites.

--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -34,6 +34,7 @@
 	StoreAddress netip.AddrPort `arg:"--store-address,env:PVALVE_STORE_ADDRESS" help:"IP and port of the platform's store" validate:"address"`
 	Cores        float64        `arg:"--cores,env:PVALVE_CORES" help:"number of processor cores that this process may use; 0 is unknown" validate:"gte=0"`
 	KeepEnded    time.Duration  `arg:"--keep-ended,env:PVALVE_KEEP_ENDED" default:"120s" help:"minimum time for which the state of an ended job stays readable" validate:"gt=0"`
+	MaxLease     time.Duration  `arg:"--max-lease,env:PVALVE_MAX_LEASE" default:"10s" help:"longest lease that workers accept; a shorter value than theirs may run tasks twice" validate:"gt=0"`
 	Grace        time.Duration  `arg:"--grace,env:PVALVE_GRACE" default:"6s" help:"maximum time from SIGTERM to the exit of the process" validate:"gte=1s"`
 }
 
@@ -76,6 +77,7 @@
 	incarnationID := uuid.Must(uuid.NewV7()).String()
 	plannerSettings := planner.DefaultSettings()
 	plannerSettings.EndedRetention = s.KeepEnded + retentionMargin
+	plannerSettings.MaxLease = s.MaxLease
 	gw := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	directory := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, IncarnationID: incarnationID, Cores: s.Cores, Candidate: true}, gw.LeaderStatus, nil, logger)
 	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings}, leader.Dependencies{
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -125,7 +125,7 @@
 // waited for once more.
 func giveUpTime(n int, downTime time.Duration) time.Duration {
 	const leaderChange = 2 * time.Second
-	return time.Duration(maxCrashesOfTask*n)*crashHandlingTime(downTime) + leaderChange + planner.DefaultSettings().OrphanTimeout
+	return time.Duration(maxCrashesOfTask*n)*crashHandlingTime(downTime) + leaderChange + planner.DefaultSettings().OrphanTimeout()
 }
 
 // run plays the day and checks all jobs.
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -155,7 +155,7 @@
 	}
 	out := planner.Report{Worker: report.Worker, Deregistered: report.Deregistered, FencingToken: report.FencingToken, Absent: report.Absent, Unanswered: report.Unanswered, RecentStarts: report.RecentStarts, Unlisted: report.Unlisted, BrokeOnStart: report.BrokeOnStart, Former: report.Former}
 	if report.Polled {
-		out.Poll = &planner.PollResult{Clock: report.Runs.Clock, Running: report.Runs.Running, Ended: report.Runs.Ended, EndsAbove: report.EndsAbove, EndsTruncated: report.Runs.EndsTruncated}
+		out.Poll = &planner.PollResult{Clock: report.Runs.Clock, FencedSince: report.FencedSince, Running: report.Runs.Running, Ended: report.Runs.Ended, EndsAbove: report.EndsAbove, EndsTruncated: report.Runs.EndsTruncated}
 	}
 	p.term.planner.Report(now, out)
 	p.term.sendOrdersTo(now, p)
--- a/messenger/convert.go
+++ b/messenger/convert.go
@@ -19,13 +19,14 @@
 	Polled       bool  // the worker answered a poll, which filled Runs and EndsAbove
 	FencingToken int64 // fencing token to which the report applies; 0 is none
 	Runs         pv.WorkerRuns
-	Absent       []pv.RunRef // not on the worker, and can't start there any more under FencingToken
-	EndsAbove    int64       // Runs.Ended holds all unacknowledged ends with a higher sequence number
-	Unanswered   bool        // the worker has stopped answering polls
-	RecentStarts []pv.RunRef // if Unanswered: runs that it had accepted shortly before
-	Unlisted     int         // the first ones of RecentStarts, which no poll has listed
-	BrokeOnStart bool        // if Unanswered: its connections broke right after a start
-	Former       bool        // another worker or incarnation has replaced this one since
+	Absent       []pv.RunRef   // not on the worker, and can't start there any more under FencingToken
+	FencedSince  time.Duration // if Polled: earlier reading of the worker's clock by which it refused calls meant for a former incarnation
+	EndsAbove    int64         // Runs.Ended holds all unacknowledged ends with a higher sequence number
+	Unanswered   bool          // the worker has stopped answering polls
+	RecentStarts []pv.RunRef   // if Unanswered: runs that it had accepted shortly before
+	Unlisted     int           // the first ones of RecentStarts, which no poll has listed
+	BrokeOnStart bool          // if Unanswered: its connections broke right after a start
+	Former       bool          // another worker or incarnation has replaced this one since
 }
 
 func encodeRun(r pv.RunRef) *wire.Run {
@@ -57,7 +58,7 @@
 		Worker: string(w.ID), Life: w.Incarnation, Service: w.Service, Zone: w.Location.Zone, Rack: w.Location.Rack, Labels: w.Labels,
 		Millicores: w.Capacity.MilliCores, MemoryMb: w.Capacity.MemoryMB, Accelerators: w.Capacity.Accelerators,
 		Leaving: w.Draining, TimeLeftMs: w.DrainTimeLeft.Milliseconds(), Departed: r.Deregistered,
-		Looked: r.Polled, Token: r.FencingToken, ClockMs: r.Runs.Clock.Milliseconds(),
+		Looked: r.Polled, Token: r.FencingToken, ClockMs: r.Runs.Clock.Milliseconds(), FencedSinceMs: r.FencedSince.Milliseconds(),
 		Running: mapSlice(r.Runs.Running, func(s pv.RunStatus) *wire.RunStatus {
 			return &wire.RunStatus{Run: encodeRun(s.Run), Checkpoint: s.Checkpoint, Percent: int32(s.ProgressPercent), Figure: s.Measured}
 		}),
@@ -106,7 +107,7 @@
 			Draining: r.Leaving, DrainTimeLeft: milliseconds(r.TimeLeftMs),
 			Address: decodeAddress(r.Address),
 		},
-		Deregistered: r.Departed, Polled: r.Looked, FencingToken: r.Token,
+		Deregistered: r.Departed, Polled: r.Looked, FencingToken: r.Token, FencedSince: milliseconds(r.FencedSinceMs),
 		Runs: pv.WorkerRuns{
 			Incarnation: r.Life, Clock: milliseconds(r.ClockMs), EndsTruncated: r.EndsTruncated,
 			Running: mapSlice(r.Running, func(s *wire.RunStatus) pv.RunStatus {
--- a/planner/fillers.go
+++ b/planner/fillers.go
@@ -144,7 +144,7 @@
 		}
 		for _, t := range s.tasks {
 			r := t.run
-			if r == nil || r.stopping || now.Sub(r.worker.clockReceivedAt) >= progressTimeout {
+			if r == nil || r.stopping || now.Sub(r.worker.lease.readAt) >= progressTimeout {
 				continue
 			}
 			if r.observed || now.Sub(r.assignedAt) < progressTimeout {
--- a/planner/lease.go
+++ b/planner/lease.go
@@ -55,10 +55,10 @@
 
 // lapseTime returns when the worker's lease has certainly lapsed.
 func (w *worker) lapseTime(s Settings) time.Time {
-	if w.clockReceivedAt.IsZero() {
+	if !w.lease.known() {
 		return w.orphanDeadline
 	}
-	return w.clockReceivedAt.Add(s.maxRealTime(w.leaseEnd-w.clock) + s.LapseMargin)
+	return w.lease.lapseTime(s)
 }
 
 // suspendRenewals marks the lease records as due of workers with runs that haven't been heard
@@ -91,7 +91,7 @@
 // maxSilence returns how long a worker may be silent until its lease is suspended. A new leader
 // waits longer for the first answer, since it links to all supervisors at once.
 func (p *Planner) maxSilence(w *worker) time.Duration {
-	if w.clockReceivedAt.IsZero() {
+	if !w.lease.known() {
 		return p.settings.MaxReportAge
 	}
 	return suspendAfter
@@ -118,7 +118,7 @@
 			resumed = append(resumed, w)
 		} else {
 			if w.renewal == renewing {
-				p.addEvent(Event{Kind: "lease suspended", Worker: id, Incarnation: w.state.Incarnation, FencingToken: w.fencingToken, ReportAge: w.leaseRecordedAt.Sub(w.clockReceivedAt)})
+				p.addEvent(Event{Kind: "lease suspended", Worker: id, Incarnation: w.state.Incarnation, FencingToken: w.fencingToken, ReportAge: w.leaseRecordedAt.Sub(w.lease.readAt)})
 			}
 			w.renewal = suspended
 			// The lease may have been renewed since the record became due, by an earlier reading
--- a/planner/lease_test.go
+++ b/planner/lease_test.go
@@ -60,7 +60,7 @@
 			h.runFor(c.first, "v")
 			limit := h.maxLapse()
 			if c.first < 2*suspendAfter { // the successor can't know how much of the lease has passed
-				limit = c.first + h.p.settings.OrphanTimeout
+				limit = c.first + h.p.settings.OrphanTimeout()
 			}
 			for _, d := range append(c.terms, 20*time.Second) {
 				h = h.successor()
@@ -89,11 +89,11 @@
 	if _, ok := h.records["lease/w"]; !ok {
 		t.Fatal("got no lease record of the silent worker, want one")
 	}
-	before := h.p.workers["w"].leaseEnd
+	before := h.p.workers["w"].lease.granted
 	h.reportPoll("w", 1, PollResult{Running: []pv.RunStatus{{Run: runOf("j", 0, 0, 1)}}})
 	h.p.Tick(h.now)
 	batch := h.p.NextBatch()
-	if o, _ := h.p.Orders(h.now, "w", allPermissions); o.Lease.End != 0 || h.p.workers["w"].leaseEnd != before {
+	if o, _ := h.p.Orders(h.now, "w", allPermissions); o.Lease.End != 0 || h.p.workers["w"].lease.granted != before {
 		t.Errorf("got the lease renewed to %v before the removal of its record is stored, want no renewal", o.Lease.End)
 	}
 	successor := h.successor() // of a leader whose batch isn't stored
@@ -177,8 +177,8 @@
 		if got := next.Restore(h.now, h.storedRecords(), Predecessors{}); len(got) != 1 {
 			t.Errorf("%s: got errors %v, want one", value, got)
 		}
-		if got := next.workers["w"].lapseTime(next.settings).Sub(h.now); got != next.settings.OrphanTimeout {
-			t.Errorf("%s: got a wait of %v, want %v", value, got, next.settings.OrphanTimeout)
+		if got := next.workers["w"].lapseTime(next.settings).Sub(h.now); got != next.settings.OrphanTimeout() {
+			t.Errorf("%s: got a wait of %v, want %v", value, got, next.settings.OrphanTimeout())
 		}
 	}
 }
@@ -203,7 +203,7 @@
 		h.now = h.now.Add(tickTime)
 		h.p.Tick(h.now)
 	}
-	if o, _ := h.p.Orders(h.now, "w", allPermissions); o.Lease.End != h.p.workers["w"].clock+h.p.settings.LeaseDuration {
+	if o, _ := h.p.Orders(h.now, "w", allPermissions); o.Lease.End != h.p.workers["w"].lease.clock+h.p.settings.LeaseDuration {
 		t.Fatalf("got a lease until %v, want it renewed by the last reading", o.Lease.End)
 	}
 	h.store(h.p.NextBatch())
--- a/planner/place.go
+++ b/planner/place.go
@@ -249,7 +249,7 @@
 	}
 	p.newRuns = append(p.newRuns, r)
 	p.markTaskDirty(t)
-	p.addEvent(Event{Kind: "run assigned", Job: t.step.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Incarnation: r.incarnation, FencingToken: w.fencingToken, ReportAge: now.Sub(w.clockReceivedAt), Reason: kindOf(t.step.spec)})
+	p.addEvent(Event{Kind: "run assigned", Job: t.step.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Incarnation: r.incarnation, FencingToken: w.fencingToken, ReportAge: now.Sub(w.lease.readAt), Reason: kindOf(t.step.spec)})
 }
 
 // placeGang assigns all tasks of a gang, or none.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -15,6 +15,10 @@
 
 var testQueue = pv.Queue{Name: "q", Service: "s", MaxAttempts: 3, DeadlineFactor: 2, Grace: time.Second}
 
+// firstClock is the reading of a worker's clock when its polls by the tests begin. Its supervisor
+// has polled it for long before, unless a test says otherwise.
+const firstClock = time.Minute
+
 var allPermissions = Permissions{RenewLease: true, StartRuns: true}
 
 // harness drives a planner with reports made by the test.
@@ -45,7 +49,10 @@
 		h.p.Report(h.now, Report{Worker: h.workerState(id, incarnation)})
 	}
 	h.clocks[pv.WorkerID(id)] += time.Second
-	poll.Clock = h.clocks[pv.WorkerID(id)]
+	poll.Clock = firstClock + h.clocks[pv.WorkerID(id)]
+	if poll.FencedSince == 0 {
+		poll.FencedSince = firstClock - h.p.settings.MaxLease
+	}
 	h.p.Report(h.now, Report{Worker: h.workerState(id, incarnation), FencingToken: w.fencingToken, Poll: &poll})
 }
 
@@ -200,7 +207,7 @@
 	h.submit("j", stepWithTasks(1))
 	h.tickAndCommit()
 	h.sendOrders("w")
-	lease := h.p.workers["w"].leaseEnd - h.p.workers["w"].clock
+	lease := h.p.workers["w"].lease.granted - h.p.workers["w"].lease.clock
 	next := h.successor() // of a leader that has just renewed the lease
 	began := h.now
 	for h.now.Sub(began) < time.Duration(float64(lease)/(1-h.p.settings.MaxClockDrift)) {
@@ -212,7 +219,7 @@
 		}
 	}
 	began = next.now
-	for next.now.Sub(began) < next.p.settings.OrphanTimeout {
+	for next.now.Sub(began) < next.p.settings.OrphanTimeout() {
 		next.reportPoll("v", 1, PollResult{})
 		next.sendOrders("v")
 		next.advance(100 * time.Millisecond)
--- a/planner/record.go
+++ b/planner/record.go
@@ -227,7 +227,7 @@
 	}
 	if !predecessors.LastAppendBy.IsZero() {
 		for _, w := range p.workers {
-			w.limitOrphanDeadline(predecessors.LastAppendBy.Add(p.settings.OrphanTimeout))
+			w.limitOrphanDeadline(predecessors.LastAppendBy.Add(p.settings.OrphanTimeout()))
 		}
 	}
 	p.placementDue = true
--- a/planner/report.go
+++ b/planner/report.go
@@ -12,9 +12,12 @@
 
 // PollResult is the part of a report that comes from a poll of the worker.
 type PollResult struct {
-	Clock   time.Duration // reading of the worker's clock
-	Running []pv.RunStatus
-	Ended   []pv.RunEnd // not acknowledged yet
+	Clock time.Duration // reading of the worker's clock
+	// FencedSince is an earlier reading by which the incarnation refused calls that were meant
+	// for a former one; 0 if none is known.
+	FencedSince time.Duration
+	Running     []pv.RunStatus
+	Ended       []pv.RunEnd // not acknowledged yet
 	// EndsAbove is the number above which Ended contains every unacknowledged end.
 	EndsAbove int64
 	// EndsTruncated states that the worker may have more ends than it has listed.
@@ -67,7 +70,7 @@
 		known := !w.stateKnown && w.knownToFormerLeader(r.Worker.Incarnation)
 		w.startIncarnation(r.Worker.Incarnation, p.epoch)
 		if !known {
-			w.orphanDeadline = now.Add(p.settings.OrphanTimeout)
+			w.orphanDeadline = now.Add(p.settings.OrphanTimeout())
 		}
 		p.addEvent(Event{Kind: "worker begins", Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, FencingToken: w.fencingToken})
 	}
@@ -133,12 +136,8 @@
 }
 
 func (p *Planner) applyPoll(now time.Time, w *worker, poll *PollResult) {
-	if w.clockReceivedAt.IsZero() {
-		// A former leader renewed the lease at most to LeaseDuration after its last
-		// reading of this clock, and that reading isn't later than this one.
-		w.leaseEnd = max(w.leaseEnd, poll.Clock+p.settings.LeaseDuration)
-	}
-	w.clock, w.clockReceivedAt, w.unanswering = poll.Clock, now, false
+	w.lease.read(now, poll, p.settings)
+	w.unanswering = false
 	w.heardAt = now
 	p.resumeRenewal(w)
 	w.lapsedRuns = slices.DeleteFunc(w.lapsedRuns, func(r *run) bool { return r.incarnation == w.state.Incarnation })
@@ -262,7 +261,7 @@
 	if kind == pv.EndStopped {
 		reason = cmp.Or(reason, r.stopReason, "supervisorStopped")
 	}
-	p.addEvent(Event{Kind: "run " + string(kind), Job: j.spec.ID, Run: r.ref(), Worker: r.worker.state.ID, Reason: reason, Incarnation: r.incarnation, ReportAge: now.Sub(r.worker.clockReceivedAt)})
+	p.addEvent(Event{Kind: "run " + string(kind), Job: j.spec.ID, Run: r.ref(), Worker: r.worker.state.ID, Reason: reason, Incarnation: r.incarnation, ReportAge: now.Sub(r.worker.lease.readAt)})
 	p.removeRun(r)
 	p.markTaskDirty(t)
 	if checkpoint != "" {
--- a/planner/settings.go
+++ b/planner/settings.go
@@ -9,8 +9,8 @@
 type Settings struct {
 	LeaseDuration       time.Duration // how long a worker may go on without a lease renewal from a leader
 	MaxClockDrift       float64       // largest fraction by which a worker's clock runs slow
+	MaxLease            time.Duration // longest lease that a worker accepts, whoever sends it
 	LapseMargin         time.Duration // added to the computed time at which a lease has lapsed
-	OrphanTimeout       time.Duration // how long a new leader waits before it ends the runs of a worker that it could not poll
 	MaxReportAge        time.Duration // age of a worker's last poll result at which it no longer gets new runs
 	EndedRetention      time.Duration // how long ended jobs and disconnected workers are kept
 	DeregistrationGrace time.Duration // from a worker's deregistration until its runs count as ended
@@ -21,14 +21,14 @@
 
 // leaderLease is how long a leader that can't reach the store goes on renewing
 // workers' leases. Together with LeaseDuration it bridges a store outage of 9 s.
-// OrphanTimeout includes it, since a former leader may have renewed leases that late.
 const leaderLease = 3 * time.Second
 
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
-	s := Settings{
+	return Settings{
 		LeaseDuration:       6 * time.Second, // a killed supervisor restarts within it; tasks of a lost machine restart within 7 s
 		MaxClockDrift:       0.02,            // bound given by the platform
+		MaxLease:            10 * time.Second,
 		LapseMargin:         300 * time.Millisecond,
 		MaxReportAge:        2 * time.Second, // four polls of at most 500 ms
 		EndedRetention:      135 * time.Second,
@@ -37,8 +37,14 @@
 		MaxPlaceInterval:    100 * time.Millisecond,
 		QuarantineDuration:  3 * time.Second,
 	}
-	s.OrphanTimeout = leaderLease + s.maxRealLease() + s.LapseMargin
-	return s
+}
+
+// OrphanTimeout returns how long after the last append of the former leader a new one waits
+// before it ends the runs of a worker that it could not poll. The former leader may have
+// renewed the lease until its leader lease ended, and it sends starts to an incarnation that
+// may still hold a lease of another one (incarnationLease) since before that append.
+func (s Settings) OrphanTimeout() time.Duration {
+	return max(leaderLease+s.maxRealLease(), s.maxRealTime(s.MaxLease)) + s.LapseMargin
 }
 
 // LeaderLease returns how long a leader that can't reach the store goes on renewing leases.
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -1,14 +1,7 @@
 package planner
 
-// This file defines the state of a worker: its current incarnation, the capacity
-// that its runs reserve, and when its lease has certainly lapsed.
-//
-// A lease ends at a reading of the worker's own clock. When a report with reading c
-// arrives at time t, the clock has reached c by t, so it reaches the lease end u by
-//
-//	t + (u - c) / (1 - MaxClockDrift)
-//
-// Delayed messages can't extend a lease past the highest u that was ever sent.
+// This file defines the state of a worker: its current incarnation and the capacity that
+// its runs reserve.
 
 import (
 	"time"
@@ -28,13 +21,11 @@
 	addressIncarnation    int64 // whose address state holds, if stateKnown is false
 	incarnationCount      int64
 	fencingToken          int64
-	fencingTokenConfirmed bool          // this incarnation has answered a poll under fencingToken
-	formerRunsEnded       bool          // it has listed all of its ends since, so no run of an earlier incarnation goes on
-	clock                 time.Duration // reading in the last poll result
-	clockReceivedAt       time.Time
-	lastReportAt          time.Time     // with or without a poll result
-	leaseEnd              time.Duration // latest lease end ever sent, by the worker's clock
-	orphanDeadline        time.Time     // when the lease of a worker without a poll result has certainly lapsed
+	fencingTokenConfirmed bool             // this incarnation has answered a poll under fencingToken
+	formerRunsEnded       bool             // it has listed all of its ends since, so no run of an earlier incarnation goes on
+	lease                 incarnationLease // of this incarnation
+	lastReportAt          time.Time        // with or without a poll result
+	orphanDeadline        time.Time        // when the lease of a worker without a poll result has certainly lapsed
 	deregisteredAt        time.Time
 	connected             bool // the worker's supervisor is connected to this leader
 	unanswering           bool // its supervisor reported no answer since the last poll result
@@ -71,7 +62,7 @@
 func (p *Planner) worker(now time.Time, id pv.WorkerID) *worker {
 	w, ok := p.workers[id]
 	if !ok {
-		w = &worker{state: pv.WorkerState{ID: id}, fencingToken: p.epoch << incarnationBits, runs: map[pv.RunRef]*run{}, sentCoefficients: map[pv.ImagePair]float64{}, orphanDeadline: now.Add(p.settings.OrphanTimeout), heardAt: now}
+		w = &worker{state: pv.WorkerState{ID: id}, fencingToken: p.epoch << incarnationBits, runs: map[pv.RunRef]*run{}, sentCoefficients: map[pv.ImagePair]float64{}, orphanDeadline: now.Add(p.settings.OrphanTimeout()), heardAt: now}
 		p.workers[id] = w
 	}
 	return w
@@ -85,7 +76,7 @@
 	w.fencingToken = epoch<<incarnationBits | w.incarnationCount
 	w.stateKnown = true
 	w.fencingTokenConfirmed, w.formerRunsEnded = false, false
-	w.clock, w.clockReceivedAt, w.leaseEnd = 0, time.Time{}, 0
+	w.lease = incarnationLease{}
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd = 0, 0, 0
 	w.unsentStarts, w.unsentStops, w.strayRuns = nil, nil, nil
 	w.deregisteredAt = time.Time{}
@@ -109,8 +100,8 @@
 // schedulable reports whether the worker may get new runs.
 func (w *worker) schedulable(now time.Time, s Settings) bool {
 	return w.fencingTokenConfirmed && w.connected && !w.unanswering && !w.state.Draining && w.deregisteredAt.IsZero() &&
-		now.Sub(w.clockReceivedAt) < s.MaxReportAge && !now.Before(w.quarantinedUntil) &&
-		w.leaseEnd > w.clock+now.Sub(w.clockReceivedAt)+minRemainingLease
+		now.Sub(w.lease.readAt) < s.MaxReportAge && !now.Before(w.quarantinedUntil) &&
+		w.lease.remaining(now) > minRemainingLease
 }
 
 // renewLease renews the worker's lease and returns its end, a reading of the
@@ -118,13 +109,11 @@
 // reading only: the lease of a worker that stopped answering must lapse even if its
 // supervisor stays connected.
 func (w *worker) renewLease(now time.Time, s Settings) time.Duration {
-	if w.clockReceivedAt.IsZero() || w.renewal != renewing {
+	if !w.lease.known() || w.renewal != renewing {
 		return 0
 	}
-	until := w.clock + s.LeaseDuration
-	w.leaseEnd = max(w.leaseEnd, until)
 	w.leaseRenewedAt = now
-	return until
+	return w.lease.renew(s)
 }
 
 func (p *Planner) addRun(r *run) {
--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -18,8 +18,11 @@
 type JobWorkerFaults struct {
 	DelayedOrderFraction float64 // fraction of orders that are not answered, and carried out 2 to 12 s later
 	DelayedStartFraction float64 // the same for starts alone, if it is higher
-	LostAnswerFraction   float64 // fraction of orders that are carried out at once and not answered
-	FailedRunFraction    float64 // fraction of runs that fail
+	// DelayedOrdersOutliveCrash lets delayed orders be carried out by the incarnation that is up
+	// then. Calls name the worker's id only, so one in flight can reach a later incarnation.
+	DelayedOrdersOutliveCrash bool
+	LostAnswerFraction        float64 // fraction of orders that are carried out at once and not answered
+	FailedRunFraction         float64 // fraction of runs that fail
 	// Answers to polls are delayed by a time between the two, up to which their clock
 	// readings are out of date when they arrive.
 	MinPollAnswerDelay, MaxPollAnswerDelay time.Duration
@@ -105,8 +108,8 @@
 }
 
 const (
-	maxLeaseDuration = 6 * time.Second // maximum lease, counted from the poll or start order that extends it
-	minOrderDelay    = 2 * time.Second // minimum delay of an order that is not answered
+	maxLeaseDuration = 10 * time.Second // maximum lease, counted from the poll or start order that extends it
+	minOrderDelay    = 2 * time.Second  // minimum delay of an order that is not answered
 	maxOrderDelay    = 12 * time.Second
 )
 
@@ -375,13 +378,25 @@
 
 // delayOrder draws whether an order is delayed by an injected fault, as the fraction of
 // orders is. If so, it schedules execute and returns true, and the caller leaves the
-// order unanswered. A crash or restart discards delayed orders.
+// order unanswered. A crash or restart discards delayed orders, unless the fault
+// DelayedOrdersOutliveCrash is injected when they are sent.
 func (r *JobWorker) delayOrder(fraction float64, execute func()) bool {
 	if r.random.Float64() >= fraction {
 		return false
 	}
 	delay := minOrderDelay + time.Duration(r.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
-	r.afterInIncarnation(delay, execute)
+	if !r.faults.DelayedOrdersOutliveCrash {
+		r.afterInIncarnation(delay, execute)
+		return true
+	}
+	id := r.state.ID
+	time.AfterFunc(delay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.down && r.state.ID == id {
+			execute()
+		}
+	})
 	return true
 }
 
--- a/supervisor/calls.go
+++ b/supervisor/calls.go
@@ -72,7 +72,7 @@
 // duration tell a call that was sent late from one that the worker carried out late.
 func (c call) logFields(err error) []zap.Field {
 	fields := []zap.Field{
-		zap.Stringer("task", c.order.Run.Task), zap.Int("attempt", c.order.Run.Attempt), zap.Int64("token", c.lease.FencingToken),
+		zap.Stringer("task", c.order.Run.Task), zap.Int("attempt", c.order.Run.Attempt), zap.Int64("token", leaderToken(c.lease)),
 		zap.Int64("waitedMs", c.sentAt.Sub(c.dueAt).Milliseconds()), zap.Int64("tookMs", time.Since(c.sentAt).Milliseconds()),
 	}
 	if err != nil {
@@ -84,7 +84,7 @@
 // makeDueCalls makes the calls that are due and that the limits allow, the longest due
 // first. On a draining worker it stops the runs whose start isn't confirmed.
 func (v *Supervisor) makeDueCalls(now time.Time) {
-	if v.lease.FencingToken == 0 || v.leaseIncarnation != v.state.Incarnation {
+	if v.lease.FencingToken == 0 {
 		return
 	}
 	if v.state.Draining {
@@ -177,8 +177,8 @@
 // to the worker is then dropped and its run reported as absent. Without recent orders,
 // the leader may be gone and the run's job cancelled elsewhere.
 func (v *Supervisor) mayStart(now time.Time, r *run) bool {
-	if v.lease.End == 0 || v.polledAt.IsZero() {
-		return false // no reading of the worker's clock yet
+	if v.lease.End == 0 || !v.lease.isFor(v.state.Incarnation) || v.polledAt.IsZero() {
+		return false // no reading of this incarnation's clock yet
 	}
 	if now.Sub(v.polledAt) < maxPollAgeForStart {
 		return !v.unverified() && !v.deregistered && now.Before(v.startsPermittedUntil)
@@ -204,7 +204,7 @@
 // result on the event loop.
 func (v *Supervisor) makeCall(ctx context.Context, c call) {
 	limits := callLimits[c.kind]
-	c.worker, c.incarnation, c.lease = v.state.ID, v.leaseIncarnation, v.lease
+	c.worker, c.incarnation, c.lease = v.state.ID, v.state.Incarnation, v.leaseToSend()
 	v.lastCallNumber++
 	number := v.lastCallNumber
 	v.callsInProgress[c.kind][number] = c.sentAt
--- a/supervisor/calls_paths_test.go
+++ b/supervisor/calls_paths_test.go
@@ -133,15 +133,16 @@
 	}
 }
 
-// No call is made under a lease of another incarnation: its end is a reading of another
-// clock.
+// No start is made, and no call carries the end of a lease, under a lease of another
+// incarnation: its end is a reading of another clock.
 func TestNoCallUnderLeaseOfAnotherIncarnation(t *testing.T) {
 	pipenet.Bubble(t, func(t *testing.T) {
 		h := newCallHarness(t)
 		defer h.stop()
 		v := h.supervisor
+		changedAt := time.Now()
 		v.eventLoop.Do(func() {
-			v.leaseIncarnation--
+			v.lease.incarnation--
 			for _, o := range startsOf(testRuns("j", 2)) {
 				v.runs[o.Run] = &run{order: o}
 			}
@@ -149,8 +150,17 @@
 			v.stopRun(testRuns("stopped", 1)[0], "ordered")
 		})
 		time.Sleep(time.Second)
-		if got := len(h.worker.callsOf(startCall)) + len(h.worker.callsOf(stopCall)); got != 0 {
-			t.Errorf("got %d calls, want none", got)
+		if got := len(h.worker.callsOf(startCall)); got != 0 {
+			t.Errorf("got %d starts, want none", got)
+		}
+		polls := h.worker.pollsSince(changedAt)
+		if len(polls) == 0 {
+			t.Error("got no polls, want some")
+		}
+		for _, c := range append(polls, h.worker.callsOf(stopCall)...) {
+			if c.lease.End != 0 {
+				t.Errorf("got a call with the lease %+v, want no end", c.lease)
+			}
 		}
 	})
 }
@@ -169,8 +179,8 @@
 		sent := len(h.worker.callsOf(startCall))
 		v := h.supervisor
 		v.eventLoop.Do(func() {
-			if v.lease != (pv.WorkerLease{}) {
-				t.Errorf("got the lease %+v in the next incarnation, want none", v.lease)
+			if v.lease.isFor(v.state.Incarnation) || v.lease.End != 0 {
+				t.Errorf("got the lease %+v in the next incarnation, want no end", v.lease)
 			}
 		})
 		for range 10 {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -57,15 +57,11 @@
 	if o.Token != v.lease.FencingToken {
 		clear(v.absentRuns)
 	}
-	if o.Token != v.lease.FencingToken || o.Life != v.leaseIncarnation || o.Whole {
+	if o.Token != v.lease.FencingToken || o.Life != v.lease.incarnation || o.Whole {
 		v.reportedEnd, v.runsReportedAt = 0, time.Time{}
 		v.wakePoll()
 	}
-	until := time.Duration(o.UntilMs) * time.Millisecond
-	if o.Token == v.lease.FencingToken && o.Life == v.leaseIncarnation {
-		until = max(until, v.lease.End)
-	}
-	v.lease, v.leaseIncarnation = pv.WorkerLease{FencingToken: o.Token, End: until}, o.Life
+	v.lease = v.lease.renew(o.Life, pv.WorkerLease{FencingToken: o.Token, End: time.Duration(o.UntilMs) * time.Millisecond})
 	if !o.StartsWithheld && o.UntilMs > 0 { // the first orders of a leader bring neither a reading nor a lease
 		v.permitStarts(now, time.Duration(o.ClockMs)*time.Millisecond)
 	}
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,22 +25,28 @@
 	number       int64
 	ok           bool // false when no poll is to be made
 	timedOut     bool // it has ended with its context
+	superseded   bool // another one is made instead
 }
 
 // pollWorker polls the worker until the context ends.
 func (v *Supervisor) pollWorker(ctx context.Context) {
 	for ctx.Err() == nil {
 		var q pollRequest
-		if !v.eventLoop.Do(func() { q = v.nextPoll() }) {
+		timed, cancel := ctx, context.CancelFunc(func() {})
+		if !v.eventLoop.Do(func() {
+			if q = v.nextPoll(); q.ok {
+				timed, cancel = context.WithTimeout(ctx, q.wait+pollMargin)
+				v.supersedePoll = cancel
+			}
+		}) {
 			return
 		}
 		if !q.ok {
 			v.awaitWake(ctx, tickInterval)
 			continue
 		}
-		timed, cancel := context.WithTimeout(ctx, q.wait+pollMargin)
 		runs, err := v.worker.Poll(timed, q.worker, q.lease, q.acknowledged, q.wait)
-		q.timedOut = timed.Err() != nil
+		q.timedOut, q.superseded = timed.Err() != nil, err != nil && errors.Is(timed.Err(), context.Canceled)
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -71,7 +78,7 @@
 }
 
 func (v *Supervisor) nextPoll() pollRequest {
-	if v.lease.FencingToken == 0 || v.leaseIncarnation != v.state.Incarnation || v.deregistered {
+	if v.lease.FencingToken == 0 || v.deregistered {
 		return pollRequest{}
 	}
 	select { // this poll covers a pending wake-up
@@ -79,10 +86,13 @@
 	default:
 	}
 	v.pollNumber++
-	q := pollRequest{worker: v.state.ID, incarnation: v.leaseIncarnation, lease: v.lease, acknowledged: v.acknowledgedEnd, wait: pollWait, number: v.pollNumber, ok: true}
+	q := pollRequest{worker: v.state.ID, incarnation: v.state.Incarnation, lease: v.leaseToSend(), acknowledged: v.acknowledgedEnd, wait: pollWait, number: v.pollNumber, ok: true}
 	if v.unverified() {
 		q.acknowledged = 0 // a new incarnation would drop ends that were never reported
 	}
+	if !v.polledIdentity() || q.lease.End < v.lease.End {
+		q.wait = 0 // show what the incarnation runs, and let the next poll renew the lease
+	}
 	for _, r := range v.runs {
 		if v.canReport() && (r.phase == stopped && r.startsInProgress == 0 || r.phase == starting && v.unverified() || r.phase == started && !r.listed) {
 			q.wait = 0 // report its state, or let it start, without delay
@@ -111,7 +121,7 @@
 	if err == nil && runs.Incarnation != q.incarnation {
 		v.logger.Warn("supervisor: poll reached another incarnation", zap.String("worker", string(q.worker)), zap.Int64("life", q.incarnation), zap.Int64("reachedLife", runs.Incarnation), zap.Duration("clock", runs.Clock), zap.Duration("leaseEnd", q.lease.End))
 	}
-	if q.incarnation != v.state.Incarnation {
+	if q.incarnation != v.state.Incarnation || q.superseded {
 		return false
 	}
 	if err != nil {
@@ -145,17 +155,22 @@
 		return false
 	}
 	now := time.Now()
+	if !v.polledIdentity() {
+		v.fencedSince = runs.Clock
+	}
 	v.polledAt = now
 	v.clockReadings.add(now, runs.Clock)
 	if q.number > v.unverifiedSince {
 		v.unverifiedSince, v.heldHeartbeat = 0, nil
 	}
-	out := messenger.Report{Worker: v.state, Deregistered: v.deregistered, Polled: true, FencingToken: q.lease.FencingToken}
+	out := messenger.Report{Worker: v.state, Deregistered: v.deregistered, Polled: true, FencingToken: leaderToken(q.lease), FencedSince: v.fencedSince}
 	out.Runs = pv.WorkerRuns{Incarnation: runs.Incarnation, Clock: runs.Clock, EndsTruncated: runs.EndsTruncated}
 	present := make(map[pv.RunRef]bool, len(runs.Running)+len(runs.Ended))
 	// Only a poll under the newest token may mark ends as reported: the leader
 	// ignores reports with other tokens.
-	changed, reportable := false, v.canReport() && q.lease.FencingToken == v.lease.FencingToken
+	ordered := v.lease.isFor(runs.Incarnation)
+	newestToken := leaderToken(q.lease) == v.lease.FencingToken
+	changed, reportable := false, v.canReport() && ordered && newestToken
 	out.EndsAbove = v.reportedEnd
 	for _, e := range runs.Ended {
 		present[e.Run] = true
@@ -170,7 +185,10 @@
 		present[s.Run] = true
 		r, ok := v.runs[s.Run]
 		if !ok {
-			if v.synchronised && q.lease.FencingToken == v.lease.FencingToken {
+			switch {
+			case !ordered:
+				v.stopRun(s.Run, "formerIncarnation") // no orders for this one have been received
+			case v.synchronised && newestToken:
 				v.stopRun(s.Run, "notInOrders")
 			}
 			continue
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -79,10 +79,9 @@
 	formerWorkers        []pv.WorkerState       // deregistered, reported to new leaders
 	crashedWorkers       []messenger.Report     // on former workers that stopped answering, sent to new leaders
 	deregistrations      chan pv.Deregistration // read by the directory
-	lease                pv.WorkerLease
-	leaseIncarnation     int64              // that the lease applies to
+	lease                incarnationLease
 	acknowledgedEnd      int64              // highest end number that the leader has acknowledged
-	synchronised         bool               // the leader has sent full orders on this link
+	synchronised         bool               // the leader has sent full orders for this incarnation on this link
 	absentRuns           map[pv.RunRef]bool // reported absent before their start, under this token
 	startsPermittedUntil time.Time          // by the latest orders
 	runs                 map[pv.RunRef]*run
@@ -93,10 +92,12 @@
 	reportedEnd          int64                   // highest end number reported under this lease
 	runsReportedAt       time.Time
 	pollNumber           int64
-	unverifiedSince      int64         // pollNumber when a call last failed; 0 once a later poll has succeeded
-	polledAt             time.Time     // when this incarnation last answered a poll
-	clockReadings        clockReadings // of this incarnation
-	brokenAt             time.Time     // when the worker's connections broke, if the last poll failed for that
+	supersedePoll        context.CancelFunc // ends the poll in progress, which another one follows
+	unverifiedSince      int64              // pollNumber when a call last failed; 0 once a later poll has succeeded
+	polledAt             time.Time          // when this incarnation last answered a poll
+	fencedSince          time.Duration      // reading of this incarnation's clock in its first answer to a poll; it refuses calls for former ones since
+	clockReadings        clockReadings      // of this incarnation
+	brokenAt             time.Time          // when the worker's connections broke, if the last poll failed for that
 	pollFailing          bool
 	throttler            throttler
 	stateUnsent          bool
@@ -108,7 +109,7 @@
 	v := &Supervisor{
 		settings: s, worker: d.Worker, logger: d.Logger, metrics: newMetrics(d.Registry),
 		pollWake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
-		runs: map[pv.RunRef]*run{}, unsentLimits: map[pv.RunRef]time.Time{}, absentRuns: map[pv.RunRef]bool{}, throttler: newThrottler(), deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
+		runs: map[pv.RunRef]*run{}, unsentLimits: map[pv.RunRef]time.Time{}, absentRuns: map[pv.RunRef]bool{}, throttler: newThrottler(), supersedePoll: func() {}, deregistrations: make(chan pv.Deregistration, maxFormerWorkers),
 	}
 	for kind := range v.callsInProgress {
 		v.callsInProgress[kind] = map[int64]time.Time{}
@@ -213,7 +214,7 @@
 // Deregistrations returns the channel on which workers' deregistrations are sent.
 func (v *Supervisor) Deregistrations() <-chan pv.Deregistration { return v.deregistrations }
 
-// startIncarnation drops the orders, the lease, the end numbers, the heartbeats and the
+// startIncarnation drops the orders, the end of the lease, the end numbers, the heartbeats and the
 // throttler's state of the worker's former incarnation. What it had started last, if it
 // stopped answering, is kept for the next leader.
 func (v *Supervisor) startIncarnation(id pv.WorkerID, incarnation int64) {
@@ -229,18 +230,22 @@
 		v.crashedWorkers = v.crashedWorkers[max(0, len(v.crashedWorkers)-maxFormerWorkers):]
 	}
 	v.logger.Info("supervisor: new worker incarnation", zap.String("worker", string(id)), zap.Int64("life", incarnation), zap.Int64("formerLife", v.state.Incarnation))
+	if id == v.state.ID {
+		v.lease = v.lease.succeed()
+	} else {
+		v.lease = incarnationLease{}
+	}
 	// Nothing that the former incarnation has said holds for this one, whose first heartbeat
 	// may still come.
 	v.state = pv.WorkerState{ID: id, Incarnation: incarnation, Sequence: -1, Location: pv.Location{Region: v.settings.Region}, Address: v.settings.Worker}
-	v.deregistered = false
+	v.deregistered, v.synchronised = false, false
 	v.lowSequences, v.heldHeartbeat = lowSequences{}, nil
 	for ref := range v.runs {
 		v.forgetRun(ref)
 	}
 	clear(v.unsentLimits)
 	clear(v.absentRuns)
-	v.lease = pv.WorkerLease{} // its end is a reading of the former incarnation's clock
-	v.reportedEnd, v.acknowledgedEnd, v.polledAt, v.clockReadings = 0, 0, time.Time{}, nil
+	v.reportedEnd, v.acknowledgedEnd, v.polledAt, v.fencedSince, v.clockReadings = 0, 0, time.Time{}, 0, nil
 	v.throttler = newThrottler()
 }
 
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -184,9 +184,14 @@
 		if len(h.worker.polls) == 0 {
 			t.Fatal("got no poll of the new incarnation, want some")
 		}
+		// The first one began before the orders.
+		former := int64(10 << successionBits)
 		for i, a := range h.worker.polls {
-			if a.FencingToken != 11 || a.End != 0 || h.worker.acknowledged[i] != 0 {
-				t.Errorf("got a poll with lease %+v and acknowledged end %d, want token 11, no lease end and 0", a, h.worker.acknowledged[i])
+			if a.FencingToken <= former || a.End != 0 || h.worker.acknowledged[i] != 0 {
+				t.Errorf("got a poll with lease %+v and acknowledged end %d, want a token above %d, no lease end and 0", a, h.worker.acknowledged[i], former)
+			}
+			if i > 0 && leaderToken(a) != 11 {
+				t.Errorf("got a poll under the leader's token %d after its orders, want 11", leaderToken(a))
 			}
 		}
 	})
