supervisor: polls without an answer don't withhold the lease

On a worker that answers every other poll, or whose starts get no answer, few polls would carry it, and running tasks might lapse on a worker that is up. Now only what shows a restart withholds the lease: a broken connection, or a heartbeat of another incarnation. What a poll without an answer may leave is covered by the leader's bound. Test: TestLeaseIsRenewedBesideUnansweredPolls failed before (9 polls of 14 with a lease end).

--- a/supervisor/lease.go
+++ b/supervisor/lease.go
@@ -4,8 +4,7 @@
 //
 // The end of a lease is a reading of the clock of one incarnation, and calls name the worker's
 // id only: another incarnation under the same id would take such an end for a reading of its
-// own clock. So a call carries the end only if the worker has last answered as that
-// incarnation.
+// own clock. So a call carries the end only while the worker answers as that incarnation.
 //
 // Calls in flight when the worker restarts may still carry an end, and starts, to the next
 // incarnation, which has received no token yet. So a new incarnation is polled at once, under a
@@ -53,16 +52,19 @@
 	return l.FencingToken != 0 && l.incarnation == incarnation
 }
 
-// verifiedIncarnation returns the incarnation as which the worker has answered the last poll,
-// if no call has failed since; otherwise it returns false.
-func (v *Supervisor) verifiedIncarnation() (int64, bool) {
-	return v.state.Incarnation, v.polledIdentity() && !v.unverified()
+// answeringIncarnation returns the incarnation as which the worker has answered polls. It
+// returns false before the first answer, and while a broken connection or a heartbeat of
+// another incarnation shows that the worker may have restarted since. A poll without an answer
+// doesn't: a worker that answers few of them would lose its lease.
+func (v *Supervisor) answeringIncarnation() (int64, bool) {
+	mayHaveRestarted := v.pollFailing && !v.brokenAt.IsZero() || v.heldHeartbeat != nil
+	return v.state.Incarnation, v.polledIdentity() && !mayHaveRestarted
 }
 
 // leaseToSend returns the lease for a call that is made now.
 func (v *Supervisor) leaseToSend() pv.WorkerLease {
 	out := pv.WorkerLease{FencingToken: v.lease.FencingToken<<successionBits | v.lease.successors}
-	if verified, ok := v.verifiedIncarnation(); ok && v.lease.isFor(verified) {
+	if incarnation, ok := v.answeringIncarnation(); ok && v.lease.isFor(incarnation) {
 		out.End = v.lease.End
 	}
 	return out
--- a/supervisor/lease_test.go
+++ b/supervisor/lease_test.go
@@ -138,3 +138,29 @@
 		}
 	})
 }
+
+// A worker that leaves every other poll without an answer keeps its lease: the polls that it
+// answers late or not at all renew it too.
+func TestLeaseIsRenewedBesideUnansweredPolls(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		for i := range 12 {
+			h.worker.mu.Lock()
+			h.worker.pollAnswerDelay = time.Duration(i%2) * time.Minute
+			h.worker.mu.Unlock()
+			h.renew(800 * time.Millisecond)
+		}
+		h.worker.mu.Lock()
+		defer h.worker.mu.Unlock()
+		withEnd := 0
+		for _, p := range h.worker.polls[1:] {
+			if p.lease.End > 0 {
+				withEnd++
+			}
+		}
+		if got, want := withEnd, len(h.worker.polls)-1; got != want {
+			t.Errorf("got %d polls with a lease end, want all %d after the first", got, want)
+		}
+	})
+}
