--- a/planner/crashes_test.go
+++ b/planner/crashes_test.go
@@ -155,3 +155,34 @@
 		t.Errorf("got %d crashes blamed on the task, want 1", got)
 	}
 }
+
+// LOST: a standing task that had just started on a worker that was lost waited 3 s, after the
+// lapse of the lease, for a worker that hadn't crashed lately, beside one with room.
+func TestSuspectedStandingTaskStartsInTime(t *testing.T) {
+	const maxDownTime = 9 * time.Second // of a standing task for which there is room
+	standing := func(count int) pv.Step {
+		s := stepWithTasks(count)
+		s.Standing = true
+		return s
+	}
+	h := newHarness(t)
+	h.pollEach("u")
+	h.submit("a", standing(8))
+	h.tickAndCommit()
+	h.pollEach("u", "w")
+	h.submit("b", standing(1))
+	h.tickAndCommit()
+	h.pollEach("u", "w")
+	lostAt, lost := h.now, runOf("b", 0, 0, 1)
+	if h.p.workers["w"].runs[lost] == nil {
+		t.Fatalf("got no run %v on the worker to be lost, want it there", lost)
+	}
+	w := h.p.workers["w"]
+	h.p.Report(h.now, Report{Worker: w.state, FencingToken: w.fencingToken, Unanswered: true, RecentStarts: []pv.RunRef{lost}, Unlisted: 1})
+	h.pollEach("u", "v")
+	h.p.workers["v"].crashedAt = h.now
+	h.advanceUntil(func() bool { return len(h.p.workers["v"].runs) > 0 }, "u", "v")
+	if got := h.now.Sub(lostAt); got > maxDownTime {
+		t.Errorf("got the task started %v after the loss, want at most %v", got, maxDownTime)
+	}
+}
