supervisor: the first poll of an incarnation returns at once

Cause: it waited for an end for half a second, and so did the first one under the leader's first orders. The leader can't renew the lease or start runs before it has a reading of the clock, so a worker that starts, or starts again, got its first run half a second late. Since the supervisor polls a new incarnation before it has orders, such a poll could also delay the one under them. Fix: polls that carry no lease end return at once, ten a second until orders bring one. Test: TestFirstPollOfAnIncarnationIsAnsweredAtOnce failed before.

--- a/supervisor/lease_test.go
+++ b/supervisor/lease_test.go
@@ -6,6 +6,8 @@
 
 	pv "persimmonvalve"
 	"persimmonvalve/internal/pipenet"
+	"persimmonvalve/internal/wire"
+	"persimmonvalve/messenger"
 )
 
 // pollsSince returns the polls that began at or after a time and were answered.
@@ -164,3 +166,23 @@
 		}
 	})
 }
+
+// The first poll of an incarnation waited for an end for half a second, which delayed the
+// leader's first reading of its clock, and with it the first starts.
+func TestFirstPollOfAnIncarnationIsAnsweredAtOnce(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newCallHarness(t)
+		defer h.stop()
+		h.renew(time.Second)
+		h.worker.restart(2, 0)
+		h.heartbeat(2, false)
+		time.Sleep(250 * time.Millisecond) // the leader is away
+		orderedAt := time.Now()
+		orders := messenger.EncodeOrders("w", 2, pv.WorkerLease{FencingToken: h.epoch + 1}, 0, true, nil, nil)
+		h.link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Orders{Orders: orders}})
+		time.Sleep(50 * time.Millisecond)
+		if got := len(h.worker.pollsSince(orderedAt)); got == 0 {
+			t.Error("got no poll answered within 50 ms of the first orders for an incarnation, want one")
+		}
+	})
+}
--- a/supervisor/poll.go
+++ b/supervisor/poll.go
@@ -60,6 +60,8 @@
 			v.awaitWake(ctx, tickInterval)
 		case unacknowledged:
 			v.awaitWake(ctx, ackWait) // with unacknowledged ends the next poll would return at once
+		case q.lease.End == 0:
+			v.awaitWake(ctx, tickInterval) // at most until the next orders
 		case q.wait == 0:
 			v.awaitWake(ctx, pollPause)
 		}
@@ -90,8 +92,8 @@
 	if v.unverified() {
 		q.acknowledged = 0 // a new incarnation would drop ends that were never reported
 	}
-	if !v.polledIdentity() || q.lease.End < v.lease.End {
-		q.wait = 0 // show what the incarnation runs, and let the next poll renew the lease
+	if q.lease.End == 0 {
+		q.wait = 0 // the leader needs the incarnation's clock before it can renew the lease
 	}
 	for _, r := range v.runs {
 		if v.canReport() && (r.phase == stopped && r.startsInProgress == 0 || r.phase == starting && v.unverified() || r.phase == started && !r.listed) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -247,6 +247,7 @@
 	clear(v.absentRuns)
 	v.reportedEnd, v.acknowledgedEnd, v.polledAt, v.fencedSince, v.clockReadings = 0, 0, time.Time{}, 0, nil
 	v.throttler = newThrottler()
+	v.wakePoll()
 }
 
 func (v *Supervisor) sendState() {
