--- a/gateway/restarted_worker_test.go
+++ b/gateway/restarted_worker_test.go
@@ -1,6 +1,6 @@
 package gateway_test
 
-// This file defines a test of workers that restart under their ids and are cut off soon after.
+// This file defines tests of workers that restart under their ids and are cut off soon after.
 
 import (
 	"fmt"
--- a/planner/crashes.go
+++ b/planner/crashes.go
@@ -24,9 +24,13 @@
 	probationDuration = 250 * time.Millisecond // from the first to the last poll of a probation
 	suspicionDuration = time.Second            // from the first poll that lists a run until its task isn't suspected any more
 	recentCrash       = 10 * time.Second       // after a worker's crash, for which suspected tasks start on others
-	maxSuspectWait    = 2 * time.Second        // of a suspected task for a worker that hasn't crashed lately; a standing one must run 9 s after it was lost, and leases lapse after up to 6.5 s of these
 )
 
+// maxSuspectWait is the longest wait of a suspected task for a worker that hasn't crashed lately.
+// A standing task must run again within 9 s; the lapse of its former worker's lease takes up to
+// 6.5 s of these.
+const maxSuspectWait = 2 * time.Second
+
 // isSuspected reports whether the task may not start beside another suspected one.
 func (t *task) isSuspected() bool { return t.suspected || t.startCrashes > 0 }
 
