--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -35,6 +35,7 @@
 	Cores        float64        `arg:"--cores,env:PVALVE_CORES" help:"number of processor cores that this process may use; 0 is unknown" validate:"gte=0"`
 	KeepEnded    time.Duration  `arg:"--keep-ended,env:PVALVE_KEEP_ENDED" default:"120s" help:"minimum time for which the state of an ended job stays readable" validate:"gt=0"`
 	MaxLease     time.Duration  `arg:"--max-lease,env:PVALVE_MAX_LEASE" default:"10s" help:"longest lease that workers accept; a shorter value than theirs may run tasks twice" validate:"gt=0"`
+	EvacuateIn   time.Duration  `arg:"--evacuate-within,env:PVALVE_EVACUATE_WITHIN" default:"0s" help:"longest time from an operator's request to evacuate a zone until no run starts there; 0 or at least 2.5s; with 0, runs start also while the requests can't be read" validate:"eq=0|gte=2500ms"`
 	Grace        time.Duration  `arg:"--grace,env:PVALVE_GRACE" default:"6s" help:"maximum time from SIGTERM to the exit of the process" validate:"gte=1s"`
 }
 
@@ -80,10 +81,10 @@
 	plannerSettings.MaxLease = s.MaxLease
 	gw := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	directory := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, IncarnationID: incarnationID, Cores: s.Cores, Candidate: true}, gw.LeaderStatus, nil, logger)
-	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings}, leader.Dependencies{
+	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings, EvacuationBound: s.EvacuateIn}, leader.Dependencies{
 		Store: store, Directory: directory, LeaderStatus: gw.LeaderStatus, Dial: messenger.DialTCP, Clock: leader.TimeSinceBoot, Logger: logger, Registry: registry,
 	})
-	config := platform.NewConfigWatcher(ctx, store, logger, candidate.SetQueues)
+	config := platform.NewConfigWatcher(ctx, store, leader.TimeSinceBoot, logger, candidate)
 	callerAPI := runner.StartHTTP(listeners[s.FrontAddress], platform.NewCallerAPI(config, gw, logger), logger)
 	draining := make(chan struct{})
 	ready := runner.StartHTTP(listeners[s.ReadyAddress], readiness(func() bool {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -23,6 +23,7 @@
 	"persimmonvalve/internal/pipenet"
 	"persimmonvalve/leader"
 	"persimmonvalve/planner"
+	"persimmonvalve/platform"
 	"persimmonvalve/standin"
 	"persimmonvalve/supervisor"
 )
@@ -75,6 +76,9 @@
 	startAnswer pv.StartAnswer
 	lastStart   map[pv.JobID]time.Time // when the last start call of a job began
 
+	evacuationBound time.Duration // if positive, gateways follow the operator's evacuations
+	acceptedStarts  [][]time.Time // by worker: when each start that it accepted was sent
+
 	injectionMu   sync.Mutex // not held while others wait: some tests replace processes under mu
 	lastInjection int
 	injections    map[int]injection         // in effect, by number
@@ -92,7 +96,14 @@
 
 // newSiteHarnessOfCapacity returns a site whose workers have the given capacity each.
 func newSiteHarnessOfCapacity(t *testing.T, seed uint64, workers int, milliCores int64) *siteHarness {
+	return newSiteHarnessInZones(t, seed, workers, milliCores, nil, 0)
+}
+
+// newSiteHarnessInZones returns a site whose workers are spread over the zones, and whose
+// gateways follow evacuations if there is a bound for them.
+func newSiteHarnessInZones(t *testing.T, seed uint64, workers int, milliCores int64, zones []string, evacuationBound time.Duration) *siteHarness {
 	s := &siteHarness{
+		evacuationBound: evacuationBound, acceptedStarts: make([][]time.Time, workers),
 		t: t, network: pipenet.New(), store: standin.NewKeyedStore(seed), logger: testLogger(),
 		jobs: map[pv.JobID]pv.Job{}, accepted: map[pv.JobID]bool{}, refused: map[pv.JobID]bool{}, notRefused: map[pv.JobID]bool{},
 		stopped: make(chan struct{}), lastStart: map[pv.JobID]time.Time{}, injections: map[int]injection{}, processAt: map[netip.AddrPort]string{},
@@ -103,6 +114,9 @@
 			ID: pv.WorkerID(fmt.Sprintf("w%d", i)), Service: "s",
 			Capacity: pv.Resources{MilliCores: milliCores, MemoryMB: 64000},
 		}
+		if len(zones) > 0 {
+			state.Location.Zone = zones[i%len(zones)]
+		}
 		s.workers = append(s.workers, standin.NewJobWorker(state, s.runAudit, taskRunTime, seed+uint64(i), s.taskSize))
 	}
 	for i := range gatewayCount {
@@ -167,10 +181,14 @@
 	startedAt := time.Now()
 	g := gateway.New(name, gateway.Dependencies{Store: store, Listener: l, Logger: logger, Registry: prometheus.NewRegistry()})
 	members := leader.NewDirectory(ctx, store, leader.Member{Node: name, Role: gateway.Role, Address: l.Address(), IncarnationID: incarnationID, Candidate: true}, g.LeaderStatus, nil, logger)
-	lead := leader.New(leader.Settings{Node: name, IncarnationID: incarnationID, Planner: planner.DefaultSettings()}, leader.Dependencies{
+	clock := func() time.Duration { return time.Since(startedAt) }
+	lead := leader.New(leader.Settings{Node: name, IncarnationID: incarnationID, Planner: planner.DefaultSettings(), EvacuationBound: s.evacuationBound}, leader.Dependencies{
 		Store: store, Directory: members, LeaderStatus: g.LeaderStatus, Dial: s.dialer(name),
-		Clock: func() time.Duration { return time.Since(startedAt) }, Logger: logger, Registry: prometheus.NewRegistry(),
+		Clock: clock, Logger: logger, Registry: prometheus.NewRegistry(),
 	})
+	if s.evacuationBound > 0 {
+		platform.NewConfigWatcher(ctx, store, clock, logger, lead)
+	}
 	lead.SetQueues([]pv.Queue{siteQueue})
 	return &process{name: name, cancel: cancel, gateway: g, leader: lead, stop: func(ctx context.Context) error {
 		defer cancel()
@@ -187,7 +205,7 @@
 	store := &processStore{Store: s.store.ClientFor(name), lifetime: ctx, site: s, process: name}
 	l := s.listen(name)
 	logger := s.logger.With(zap.String("node", name))
-	worker := &processWorker{WorkerClient: s.workers[i], lifetime: ctx, site: s}
+	worker := &processWorker{WorkerClient: s.workers[i], lifetime: ctx, site: s, index: i}
 	v := supervisor.New(supervisor.Settings{Node: name, Worker: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)}, supervisor.Dependencies{Worker: worker, Listener: l, Logger: logger, Registry: prometheus.NewRegistry()})
 	leader.NewDirectory(ctx, store, leader.Member{Node: name, Role: supervisor.Role, Address: l.Address(), IncarnationID: fmt.Sprintf("boot-%d", s.lastSerial)}, v.LeaderStatus, v.Deregistrations(), logger)
 	go func() {
@@ -302,6 +320,7 @@
 	pv.WorkerClient
 	lifetime context.Context
 	site     *siteHarness
+	index    int // of the worker
 }
 
 // startAnswerDelay is longer than a supervisor lets a start hold up others, so that it sends
@@ -329,7 +348,14 @@
 			return pv.StartUnknown, ctx.Err()
 		}
 	}
-	return w.WorkerClient.Start(ctx, id, a, o)
+	sentAt := time.Now()
+	startAnswer, err := w.WorkerClient.Start(ctx, id, a, o)
+	if startAnswer == pv.StartAccepted {
+		w.site.mu.Lock()
+		w.site.acceptedStarts[w.index] = append(w.site.acceptedStarts[w.index], sentAt)
+		w.site.mu.Unlock()
+	}
+	return startAnswer, err
 }
 
 func (w *processWorker) Poll(ctx context.Context, id pv.WorkerID, a pv.WorkerLease, acknowledged int64, wait time.Duration) (pv.WorkerRuns, error) {
--- a/leader/doc.go
+++ b/leader/doc.go
@@ -7,6 +7,7 @@
 //   - claim.go: claim of a term by conditional append
 //   - commit.go: commit of batches to the store, with idempotent retries
 //   - directory.go: directory of the site's processes; preferred candidates
+//   - evacuation.go: evacuated zones
 //   - inbox.go: jobs and cancellations stored while no leader can be reached
 //   - leader.go: candidacy of a process
 //   - metrics.go: Prometheus metrics
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -66,6 +66,10 @@
 	Node          string // name of this process, unique in the site
 	IncarnationID string // unique to each incarnation of the process
 	Planner       planner.Settings
+	// EvacuationBound is the longest time from the operator's request to evacuate a zone until
+	// no run starts there any more; 0 if the site promises none. It is at least
+	// MinEvacuationBound otherwise.
+	EvacuationBound time.Duration
 }
 
 // Dependencies are the services that a Leader uses.
@@ -86,11 +90,12 @@
 	deps     Dependencies
 	metrics  *metrics
 
-	mu      sync.Mutex
-	term    *term
-	queues  []pv.Queue
-	cancel  context.CancelFunc
-	stopped chan struct{}
+	mu          sync.Mutex
+	term        *term
+	queues      []pv.Queue
+	evacuations evacuationsRead
+	cancel      context.CancelFunc
+	stopped     chan struct{}
 
 	campaigningStopped atomic.Bool // no further terms are claimed
 }
--- a/leader/metrics.go
+++ b/leader/metrics.go
@@ -11,6 +11,8 @@
 	decisions         *prometheus.CounterVec
 	undecodable       *prometheus.CounterVec
 	commitSeconds     prometheus.Histogram
+	evacuatedZones    prometheus.Gauge
+	evacuatedRuns     prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -22,6 +24,8 @@
 		undecodable:       prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "pvalve", Name: "leader_undecodable_records_total", Help: "Records of the store that this leader couldn't decode and skipped, by topic."}, []string{"topic"}),
 		commitSeconds:     prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "pvalve", Name: "leader_commit_seconds", Help: "Time to store a batch, in seconds.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
 	}
-	r.MustRegister(m.terms, m.storeReadFailures, m.storeRetries, m.decisions, m.undecodable, m.commitSeconds)
+	m.evacuatedZones = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "pvalve", Name: "leader_evacuated_zones", Help: "Zones that are evacuated, as last read by this process while it led."})
+	m.evacuatedRuns = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "pvalve", Name: "leader_evacuated_zone_runs", Help: "Runs in evacuated zones that aren't being stopped, at the last read of the operator's records."})
+	r.MustRegister(m.terms, m.storeReadFailures, m.storeRetries, m.decisions, m.undecodable, m.commitSeconds, m.evacuatedZones, m.evacuatedRuns)
 	return m
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -46,6 +46,7 @@
 	planner     *planner.Planner
 	peers       map[string]*peer // by node
 	confirmedAt time.Duration    // Dependencies.Clock at the start of the last confirmed append
+	evacuations evacuationsRead
 
 	inboxEnd             pv.Offset            // before which all records of the inbox have been applied; 0 before the first read
 	inboxReadStartedAt   time.Duration        // Dependencies.Clock at the start of the last read of the inbox whose cancellations are stored
@@ -85,8 +86,10 @@
 		t.logger.Error("leader: stored record can't be decoded; it is skipped", zap.Int64("epoch", t.epoch), logfield.Error(fault))
 	}
 	t.leader.mu.Lock()
-	t.planner.SetQueues(t.leader.queues)
+	queues, evacuations := t.leader.queues, t.leader.evacuations
 	t.leader.mu.Unlock()
+	t.planner.SetQueues(queues)
+	t.applyEvacuations(now, evacuations)
 	t.peers, t.keptCancellations = map[string]*peer{}, map[string]time.Time{}
 	t.inboxReadStartedAt = t.leader.deps.Clock() - maxInboxAge // the inbox hasn't been read yet
 	t.commitStartedAt = now
@@ -200,9 +203,9 @@
 
 // mayStartRuns reports whether this leader can have missed no cancellation that is older
 // than maxInboxAge: it has read the inbox since, and stored a batch, so that no later
-// leader had accepted one.
+// leader had accepted one. Nor may it have missed an evacuation for too long.
 func (t *term) mayStartRuns() bool {
-	return t.leader.deps.Clock()-min(t.inboxReadStartedAt, t.confirmedAt) < maxInboxAge
+	return t.leader.deps.Clock()-min(t.inboxReadStartedAt, t.confirmedAt) < maxInboxAge && t.evacuationsKnown()
 }
 
 func (t *term) sendOrders(now time.Time) {
--- a/planner/doc.go
+++ b/planner/doc.go
@@ -6,6 +6,7 @@
 //
 // Files:
 //   - coefficients.go: transfer and storage of interference coefficients
+//   - evacuation.go: evacuation of zones
 //   - fillers.go: workers on which fillers run
 //   - interference.go: learning of interference coefficients
 //   - job.go: state of jobs, steps, tasks and runs
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -50,7 +50,8 @@
 	if !w.fullOrdersDue && !renewalDue && (len(w.unsentStarts) == 0 || !permissions.StartRuns) && len(w.unsentStops) == 0 && len(w.strayRuns) == 0 && w.committedEnd == w.acknowledgedEnd {
 		return Orders{}, false
 	}
-	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue, StartsWithheld: !permissions.StartRuns, Clock: w.lease.clock}
+	evacuated := p.inEvacuatedZone(w)
+	o := Orders{Worker: id, Incarnation: w.state.Incarnation, Acknowledged: w.committedEnd, Full: w.fullOrdersDue, StartsWithheld: !permissions.StartRuns || evacuated, Clock: w.lease.clock}
 	o.Lease.FencingToken = w.fencingToken
 	if permissions.RenewLease {
 		o.Lease.End = w.renewLease(now, p.settings)
--- a/planner/place.go
+++ b/planner/place.go
@@ -89,7 +89,7 @@
 func (p *Planner) schedulableWorkers(now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
-		if w.schedulable(now, p.settings) {
+		if w.schedulable(now, p.settings) && !p.inEvacuatedZone(w) {
 			out = append(out, w)
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -40,6 +40,8 @@
 	active   []*job // not ended
 	workers  map[pv.WorkerID]*worker
 	queues   map[string]pv.Queue
+	// evacuated holds the zones whose workers get no new runs.
+	evacuated map[string]bool
 
 	interference         interference
 	passStartedAt        time.Time              // of the latest placement pass
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -30,6 +30,7 @@
 	records  map[string][]byte
 	address  netip.AddrPort         // of workers that report
 	services map[pv.WorkerID]string // of workers that aren't of the test queue's service
+	zones    map[pv.WorkerID]string // of workers
 }
 
 func newHarness(t *testing.T) *harness {
@@ -39,7 +40,7 @@
 
 func (h *harness) workerState(id string, incarnation int64) pv.WorkerState {
 	service := cmp.Or(h.services[pv.WorkerID(id)], testQueue.Service)
-	return pv.WorkerState{ID: pv.WorkerID(id), Service: service, Incarnation: incarnation, Capacity: pv.Resources{MilliCores: 8000, MemoryMB: 8000}, Address: h.address}
+	return pv.WorkerState{ID: pv.WorkerID(id), Service: service, Incarnation: incarnation, Location: pv.Location{Zone: h.zones[pv.WorkerID(id)]}, Capacity: pv.Resources{MilliCores: 8000, MemoryMB: 8000}, Address: h.address}
 }
 
 // reportPoll reports a poll of the worker under its current token.
--- a/planner/report.go
+++ b/planner/report.go
@@ -180,6 +180,9 @@
 		p.endReplacedWorkers(now, w)
 	}
 	p.stopRunsOverCapacity(w, poll)
+	if p.inEvacuatedZone(w) {
+		p.withdrawUnstartedRuns(w)
+	}
 }
 
 // stopRunsOverCapacity stops the runs that haven't started as far as is known and don't fit
