--- a/cmd/pvalve-agent/main.go
+++ b/cmd/pvalve-agent/main.go
@@ -51,6 +51,7 @@
 		return runner.ExitFailed
 	}
 	registry := runner.NewRegistry()
+	limits := runner.NewLimiter(s.Common, logger, registry)
 	// The client limits calls to workers as well, in addition to Scheduler.CallTimeout.
 	client := connector.NewHTTPClient(s.CallTimeout, meter.New(registry, "platform"))
 	a := agent.New(s.agentSettings(), agent.Dependencies{
@@ -65,7 +66,7 @@
 		Logger:   logger,
 		Registry: registry,
 	})
-	stopAdmin, err := runner.StartAdmin(s.AdminAddress, a.Ready, registry, logger)
+	stopAdmin, err := runner.StartAdmin(s.AdminAddress, a.Ready, registry, limits, logger)
 	if err != nil {
 		logger.Error("agent: serving the admin address failed; exiting", logfield.Error(err))
 		return runner.ExitFailed
--- a/cmd/pvalve-entry/main.go
+++ b/cmd/pvalve-entry/main.go
@@ -56,6 +56,7 @@
 		return runner.ExitFailed
 	}
 	registry := runner.NewRegistry()
+	limits := runner.NewLimiter(s.Common, logger, registry)
 	client := connector.NewHTTPClient(s.CallTimeout, meter.New(registry, "platform"))
 	e := entry.New(s.entrySettings(), entry.Dependencies{
 		Log:      connector.NewLog(client, s.LogURL),
@@ -70,12 +71,12 @@
 		logger.Error("entry: creating the API server failed; exiting", logfield.Error(err))
 		return runner.ExitFailed
 	}
-	stopAdmin, err := runner.StartAdmin(s.AdminAddress, e.Ready, registry, logger)
+	stopAdmin, err := runner.StartAdmin(s.AdminAddress, e.Ready, registry, limits, logger)
 	if err != nil {
 		logger.Error("entry: serving the admin address failed; exiting", logfield.Error(err))
 		return runner.ExitFailed
 	}
-	server := runner.StartHTTP(listener, api, logger)
+	server := runner.StartHTTP(listener, api, limits, logger)
 	logger.Info("entry: serving the API", zap.Stringer("address", listener.Addr()))
 	runner.WaitForStopSignal(logger)
 	ctx, cancel := context.WithTimeout(context.Background(), runner.StopTimeout)
--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -72,6 +72,7 @@
 		}
 	}
 	registry := runner.NewRegistry()
+	limits := runner.NewLimiter(s.Common, logger, registry)
 	store := platform.NewStore(s.StoreAddress, meter.New(registry, "store"))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -85,7 +86,7 @@
 		Store: store, Directory: directory, LeaderStatus: gw.LeaderStatus, Dial: messenger.DialTCP, Clock: leader.TimeSinceBoot, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfigWatcher(ctx, store, leader.TimeSinceBoot, logger, candidate)
-	callerAPI := runner.StartHTTP(listeners[s.FrontAddress], platform.NewCallerAPI(config, gw, logger), logger)
+	callerAPI := runner.StartHTTP(listeners[s.FrontAddress], platform.NewCallerAPI(config, gw, logger), limits, logger)
 	draining := make(chan struct{})
 	ready := runner.StartHTTP(listeners[s.ReadyAddress], readiness(func() bool {
 		select {
@@ -94,8 +95,8 @@
 		default:
 			return config.Loaded()
 		}
-	}), logger)
-	stopAdmin, err := runner.StartAdmin(s.AdminAddress, config.Loaded, registry, logger)
+	}), limits, logger)
+	stopAdmin, err := runner.StartAdmin(s.AdminAddress, config.Loaded, registry, limits, logger)
 	if err != nil {
 		logger.Error("gateway: cannot serve the admin address; exiting", logfield.Error(err))
 		return runner.ExitFailed
--- a/cmd/pvalve-standin/serve.go
+++ b/cmd/pvalve-standin/serve.go
@@ -15,6 +15,7 @@
 
 	pv "persimmonvalve"
 	"persimmonvalve/internal/logfield"
+	"persimmonvalve/limiter"
 	"persimmonvalve/runner"
 	"persimmonvalve/standin"
 )
@@ -48,6 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return runner.ExitUsage
 	}
+	limits := limiter.New(limiter.DefaultSettings(), logger, runner.NewRegistry())
 	var stops []func(context.Context) error
 	for address, handler := range handlers {
 		l, err := net.Listen("tcp", address.String())
@@ -56,7 +58,7 @@
 			return runner.ExitFailed
 		}
 		logger.Info("standin: serving", zap.Stringer("address", l.Addr()))
-		stops = append(stops, runner.StartHTTP(l, handler, logger).Stop)
+		stops = append(stops, runner.StartHTTP(l, handler, limits, logger).Stop)
 	}
 	runner.WaitForStopSignal(logger)
 	ctx, cancel := context.WithTimeout(context.Background(), runner.StopTimeout)
--- a/cmd/pvalve-supervisor/main.go
+++ b/cmd/pvalve-supervisor/main.go
@@ -61,6 +61,7 @@
 		return runner.ExitFailed
 	}
 	registry := runner.NewRegistry()
+	limits := runner.NewLimiter(s.Common, logger, registry)
 	store := platform.NewStore(s.StoreAddress, meter.New(registry, "store"))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -68,8 +69,8 @@
 		Worker: platform.NewWorkerClient(s.WorkerAddress, meter.New(registry, "worker")), Listener: linkListener, Logger: logger, Registry: registry,
 	})
 	leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: supervisor.Role, Address: s.LinkAddress, IncarnationID: uuid.Must(uuid.NewV7()).String()}, sup.LeaderStatus, sup.Deregistrations(), logger)
-	heartbeatAPI := runner.StartHTTP(heartbeatListener, platform.NewHeartbeatAPI(sup, logger), logger)
-	stopAdmin, err := runner.StartAdmin(s.AdminAddress, sup.Linked, registry, logger)
+	heartbeatAPI := runner.StartHTTP(heartbeatListener, platform.NewHeartbeatAPI(sup, logger), limits, logger)
+	stopAdmin, err := runner.StartAdmin(s.AdminAddress, sup.Linked, registry, limits, logger)
 	if err != nil {
 		logger.Error("supervisor: cannot serve the admin address; exiting", logfield.Error(err))
 		return runner.ExitFailed
--- a/demonstrator/site.go
+++ b/demonstrator/site.go
@@ -21,6 +21,7 @@
 	"persimmonvalve/connector"
 	"persimmonvalve/entry"
 	"persimmonvalve/internal/apigen"
+	"persimmonvalve/limiter"
 	"persimmonvalve/messenger"
 	"persimmonvalve/partitioner"
 	"persimmonvalve/runner"
@@ -121,12 +122,17 @@
 	return s, nil
 }
 
+// newLimiter returns the limits of one server.
+func (s *Site) newLimiter() *limiter.Limiter {
+	return limiter.New(limiter.DefaultSettings(), s.Options.Logger, prometheus.NewRegistry())
+}
+
 func (s *Site) serve(h http.Handler) (netip.AddrPort, func(context.Context) error, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, nil, Error.Wrap(err)
 	}
-	return addressOf(l), runner.StartHTTP(l, h, s.Options.Logger).Stop, nil
+	return addressOf(l), runner.StartHTTP(l, h, s.newLimiter(), s.Options.Logger).Stop, nil
 }
 
 func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
@@ -252,7 +258,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	g.server = runner.StartHTTP(l, api, s.Options.Logger)
+	g.server = runner.StartHTTP(l, api, s.newLimiter(), s.Options.Logger)
 	g.API, err = apigen.NewClient(g.URL)
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,8 +19,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
 	"persimmonvalve/internal/logfield"
 	"persimmonvalve/internal/logsink"
+	"persimmonvalve/limiter"
 )
 
 // NewLogger returns a logger with the level and format of the settings. It writes
@@ -47,8 +50,19 @@
 	return r
 }
 
-// headerTimeout limits the time for reading the headers of a request.
-const headerTimeout = 5 * time.Second
+// garbageShare is the fraction of the process's memory above which the garbage collector works
+// harder. The limits of limiter keep what is in use below it.
+const garbageShare = 0.7
+
+// NewLimiter returns the limits of the process's servers by its settings, and bounds the memory
+// that garbage takes.
+func NewLimiter(c Common, logger *zap.Logger, r *prometheus.Registry) *limiter.Limiter {
+	memoryBytes := c.MemoryMB << 20
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(int64(garbageShare * float64(memoryBytes)))
+	}
+	return limiter.New(limiter.NewSettings(memoryBytes, c.MaxConnections, c.BodyTimeout), logger, r)
+}
 
 // HTTPServer is an HTTP server with a graceful stop.
 type HTTPServer struct {
@@ -56,17 +70,18 @@
 	draining atomic.Bool
 }
 
-// StartHTTP starts a server for a handler on a listener.
-func StartHTTP(l net.Listener, h http.Handler, logger *zap.Logger) *HTTPServer {
+// StartHTTP starts a server for a handler on a listener, within the limits of the process.
+func StartHTTP(l net.Listener, h http.Handler, limits *limiter.Limiter, logger *zap.Logger) *HTTPServer {
 	s := &HTTPServer{}
-	s.server = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
 	})}
+	limits.Configure(s.server)
 	go func() {
-		if err := s.server.Serve(l); err != nil && err != http.ErrServerClosed {
+		if err := s.server.Serve(limits.Listener(l)); err != nil && err != http.ErrServerClosed {
 			logger.Error("http: server stopped unexpectedly", logfield.Error(err))
 		}
 	}()
@@ -91,7 +106,7 @@
 }
 
 // StartAdmin starts the admin server with /healthz, /readyz and /metrics.
-func StartAdmin(address netip.AddrPort, ready func() bool, r *prometheus.Registry, logger *zap.Logger) (stop func(context.Context) error, err error) {
+func StartAdmin(address netip.AddrPort, ready func() bool, r *prometheus.Registry, limits *limiter.Limiter, logger *zap.Logger) (stop func(context.Context) error, err error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -105,7 +120,7 @@
 		return nil, Error.Wrap(err)
 	}
 	logger.Info("admin: serving health checks and metrics", zap.Stringer("address", l.Addr()))
-	return StartHTTP(l, mux, logger).Stop, nil
+	return StartHTTP(l, mux, limits, logger).Stop, nil
 }
 
 // StopTimeout is the time limit of a graceful stop.
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-playground/validator/v10"
@@ -31,6 +32,11 @@
 	LogLevel     string         `arg:"--log-level,env:PVALVE_LOG_LEVEL" default:"info" help:"log level: debug, info, warn or error" validate:"oneof=debug info warn error"`
 	LogFormat    string         `arg:"--log-format,env:PVALVE_LOG_FORMAT" default:"json" help:"log format: json or console" validate:"oneof=json console"`
 	AdminAddress netip.AddrPort `arg:"--admin-address,env:PVALVE_ADMIN_ADDRESS" default:"127.0.0.1:0" help:"IP and port for /healthz, /readyz and /metrics; port 0 selects a free port" validate:"address"`
+	MemoryMB     int64          `arg:"--memory-mb,env:PVALVE_MEMORY_MB" default:"0" help:"memory that this process may use, in MiB; a quarter of it holds requests that aren't handled yet; 0 is unknown and counts as 256" validate:"gte=0,lte=1048576"`
+	// MaxConnections is below the limit of the process's descriptors, of which the store, links
+	// and calls to other processes need some.
+	MaxConnections int           `arg:"--max-connections,env:PVALVE_MAX_CONNECTIONS" default:"2048" help:"connections that the servers of this process hold at once; beyond it the one that is least useful is closed" validate:"gte=16"`
+	BodyTimeout    time.Duration `arg:"--body-timeout,env:PVALVE_BODY_TIMEOUT" default:"10s" help:"time for a caller to send the body of a request" validate:"gt=0"`
 }
 
 // Process are the settings that identify a process and its location.
