--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -35,6 +35,8 @@
 	Cores        float64        `arg:"--cores,env:PVALVE_CORES" help:"number of processor cores that this process may use; 0 is unknown" validate:"gte=0"`
 	KeepEnded    time.Duration  `arg:"--keep-ended,env:PVALVE_KEEP_ENDED" default:"120s" help:"minimum time for which the state of an ended job stays readable" validate:"gt=0"`
 	MaxLease     time.Duration  `arg:"--max-lease,env:PVALVE_MAX_LEASE" default:"10s" help:"longest lease that workers accept; a shorter value than theirs may run tasks twice" validate:"gt=0"`
+	StopTime     time.Duration  `arg:"--stop-time,env:PVALVE_STOP_TIME" default:"400ms" help:"longest time that a worker takes to stop a run; with --restore-time it decides when the move of a slow task pays" validate:"gte=0"`
+	RestoreTime  time.Duration  `arg:"--restore-time,env:PVALVE_RESTORE_TIME" default:"100ms" help:"time that a task takes to resume from a checkpoint" validate:"gte=0"`
 	EvacuateIn   time.Duration  `arg:"--evacuate-within,env:PVALVE_EVACUATE_WITHIN" default:"0s" help:"longest time from an operator's request to evacuate a zone until no run starts there; 0 or at least 2.5s; with 0, runs start also while the requests can't be read" validate:"eq=0|gte=2500ms"`
 	Grace        time.Duration  `arg:"--grace,env:PVALVE_GRACE" default:"6s" help:"maximum time from SIGTERM to the exit of the process" validate:"gte=1s"`
 }
@@ -80,6 +82,7 @@
 	plannerSettings := planner.DefaultSettings()
 	plannerSettings.EndedRetention = s.KeepEnded + retentionMargin
 	plannerSettings.MaxLease = s.MaxLease
+	plannerSettings.StopTime, plannerSettings.RestoreTime = s.StopTime, s.RestoreTime
 	gw := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	directory := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, IncarnationID: incarnationID, Cores: s.Cores, Candidate: true}, gw.LeaderStatus, nil, logger)
 	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings, EvacuationBound: s.EvacuateIn}, leader.Dependencies{
--- a/planner/doc.go
+++ b/planner/doc.go
@@ -16,6 +16,7 @@
 //   - record.go: records of jobs
 //   - report.go: effects of workers' reports
 //   - settings.go: settings
+//   - stragglers.go: fillers that are moved since they lag behind
 //   - work.go: work of jobs, and the ratio by which steps are ordered
 //   - worker.go: incarnation, reserved capacity and lease of a worker
 package planner
--- a/planner/fillers.go
+++ b/planner/fillers.go
@@ -23,56 +23,14 @@
 	return min(1, fraction(max(0, free), w.fillerMilliCores+milliCores))
 }
 
-// Parameters of the placement and migration of fillers.
+// Parameters of the placement of fillers.
 const (
-	servingIdleFraction   = 0.5                     // fraction of their reserved cores that serving tasks leave idle on average
-	minStartSpeed         = 0.75                    // lowest speed, as a fraction of full speed, at which a filler starts without waiting
-	maxFillerWait         = 1200 * time.Millisecond // wait after which a filler may start on the best worker, however slow; it must start within 3 s
-	maxIdleReserved       = 0.55                    // fraction of a service's cores; submitters regard a service as idle up to 0.5
-	minMigrationSpeedGain = 0.5                     // fraction of full speed that a filler with checkpoints must gain
-	minMigrationLimit     = 4                       // migrations per pass on a small fleet
-	workersPerMigration   = 3                       // workers for each migration that one pass may make on a large fleet
-	minMigrationRunTime   = 1500 * time.Millisecond // age of a run by which its CPU limit has settled
-	maxMigrationPercent   = 70                      // progress up to which migration pays: resuming takes time too
+	servingIdleFraction = 0.5                     // fraction of their reserved cores that serving tasks leave idle on average
+	minStartSpeed       = 0.75                    // lowest speed, as a fraction of full speed, at which a filler starts without waiting
+	maxFillerWait       = 1200 * time.Millisecond // wait after which a filler may start on the best worker, however slow; it must start within 3 s
+	maxIdleReserved     = 0.55                    // fraction of a service's cores; submitters regard a service as idle up to 0.5
 )
 
-// migrateFillers stops fillers that are slow on their worker and would be fast on
-// another. They resume from the checkpoint that the stop saves.
-func (p *Planner) migrateFillers(now time.Time) {
-	workers := p.schedulableWorkers(now)
-	plannedMilliCores := map[*worker]int64{}
-	migrations := 0
-	for _, w := range workers {
-		if w.fillerMilliCores == 0 {
-			continue
-		}
-		for _, r := range w.runs {
-			s := r.task.step
-			if !s.spec.Filler || !s.spec.Checkpointable || s.spec.Gang || r.stopping || !r.observed ||
-				r.task.migrated || r.progressPercent > maxMigrationPercent || now.Sub(r.assignedAt) < minMigrationRunTime {
-				continue
-			}
-			speed := fraction(r.usedMilliCores, s.spec.Size.MilliCores)
-			if speed > 1-minMigrationSpeedGain {
-				continue
-			}
-			for _, o := range workers {
-				if o != w && o.fits(r.task) && p.fillerSpeed(o, s.spec.Image, plannedMilliCores[o]+s.spec.Size.MilliCores) > speed+minMigrationSpeedGain {
-					plannedMilliCores[o] += s.spec.Size.MilliCores
-					r.task.migrated = true
-					p.stopRun(r, "slowThere")
-					p.addEvent(Event{Kind: "filler moves", Job: s.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Incarnation: r.incarnation, Reason: "slowThere"})
-					migrations++
-					break
-				}
-			}
-			if migrations >= max(minMigrationLimit, len(workers)/workersPerMigration) {
-				return
-			}
-		}
-	}
-}
-
 // mostlyIdleServices returns the services of which the reserved fraction of their workers'
 // cores is below maxIdleReserved. A job of such a service shouldn't wait without running tasks.
 func mostlyIdleServices(workers []*worker) map[string]bool {
--- a/planner/job.go
+++ b/planner/job.go
@@ -44,6 +44,7 @@
 	position     int           // among the steps of all occurrences
 	dirtyGroups  map[int]bool  // groups of tasks whose record is out of date; nil if there are none
 	storedGroups map[int]bool  // groups of tasks that have a record
+	fullSpeed    fullSpeedTime // of a step of fillers: of the tasks that have succeeded
 }
 
 type task struct {
@@ -56,7 +57,6 @@
 	storedCheckpoint string // in the task's record
 	run              *run
 	avoidWorker      pv.WorkerID    // on which the task failed last
-	migrated         bool           // a task is migrated at most once
 	suspected        bool           // it may have crashed a worker
 	crashes          int            // crashes of workers in which it was a possible cause
 	startCrashes     int            // crashes of workers counted against it
@@ -81,7 +81,7 @@
 	suspected       bool      // accepted shortly before the worker stopped answering
 	leaving         bool      // its worker drained or deregistered
 	progressPercent int
-	usedMilliCores  int64 // of a filler, in the last half second
+	pace            pace // of a filler
 	assignedAt      time.Time
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -59,7 +59,7 @@
 	tickingSince         time.Time // first tick after the last gap between ticks
 	lastLeasePassAt      time.Time
 	leaseRecordsDue      map[*worker]bool // whose lease record, or its removal, is to be stored
-	lastMigrationPassAt  time.Time
+	lastStragglerPassAt  time.Time
 	lastExpiryAt         time.Time
 	lastCheckpointPassAt time.Time
 	events               []Event
@@ -206,12 +206,12 @@
 	p.newStops = append(p.newStops, r)
 }
 
-// migrationInterval is the time between two searches for slow fillers to migrate.
-const migrationInterval = 500 * time.Millisecond
+// stragglerInterval is the time between two searches for stragglers.
+const stragglerInterval = 500 * time.Millisecond
 
 // Tick makes the changes that are due by time: it ends runs whose lease lapsed,
 // expires ended jobs and disconnected workers, places waiting tasks, including those
-// of due occurrences, and migrates fillers.
+// of due occurrences, and moves stragglers.
 func (p *Planner) Tick(now time.Time) {
 	for _, w := range p.workers {
 		if len(w.runs) > 0 && w.lapsed(now, p.settings) {
@@ -229,9 +229,9 @@
 	}
 	if since := now.Sub(p.lastPassAt); p.placementDue && since >= p.settings.MinPlaceInterval || since > p.settings.MaxPlaceInterval {
 		p.place(now)
-		if now.Sub(p.lastMigrationPassAt) > migrationInterval {
-			p.lastMigrationPassAt = now
-			p.migrateFillers(now)
+		if now.Sub(p.lastStragglerPassAt) > stragglerInterval {
+			p.lastStragglerPassAt = now
+			p.moveStragglers(now)
 		}
 		p.lastPassAt, p.placementDue = now, false
 	}
--- a/planner/report.go
+++ b/planner/report.go
@@ -247,7 +247,7 @@
 	p.observeRun(now, r)
 	r.progressPercent = s.ProgressPercent
 	if r.task.step.spec.Filler {
-		r.usedMilliCores = s.Measured // Measured is in millicores
+		r.pace.note(now, s.ProgressPercent, fraction(s.Measured, r.task.step.spec.Size.MilliCores)) // Measured is in millicores
 	}
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
@@ -277,6 +277,7 @@
 	switch kind {
 	case pv.EndSucceeded:
 		r.worker.consecutiveFailures = 0
+		s.fullSpeed.add(r.pace.wholeTask(now))
 		p.endSuspicion(t)
 		if !s.spec.Standing {
 			p.finishTask(now, t)
--- a/planner/settings.go
+++ b/planner/settings.go
@@ -17,6 +17,8 @@
 	MinPlaceInterval    time.Duration // between two placement passes
 	MaxPlaceInterval    time.Duration // between two placement passes without a change of state
 	QuarantineDuration  time.Duration // how long a quarantined worker gets no new runs
+	StopTime            time.Duration // longest time that a worker takes to stop a run
+	RestoreTime         time.Duration // that a task takes to resume from a checkpoint
 }
 
 // leaderLease is how long a leader that can't reach the store goes on renewing
@@ -36,6 +38,8 @@
 		MinPlaceInterval:    8 * time.Millisecond, // a tenth of the time to a job's first start; groups ends that arrive together
 		MaxPlaceInterval:    100 * time.Millisecond,
 		QuarantineDuration:  3 * time.Second,
+		StopTime:            400 * time.Millisecond,
+		RestoreTime:         100 * time.Millisecond,
 	}
 }
 
--- a/supervisor/limits.go
+++ b/supervisor/limits.go
@@ -62,7 +62,8 @@
 	case v.throttler.paused:
 		percent = 0
 	case len(v.throttler.headrooms) > 0: // the last poll measured the slack of a serving task
-		percent = v.throttler.nextPercent(o.Run, v.throttler.aimdFactor*v.throttler.reserve(o.Image, float64(o.MilliCores)/1000), true)
+		reserved, _ := v.throttler.reserve(o.Image, float64(o.MilliCores)/1000)
+		percent = v.throttler.nextPercent(o.Run, v.throttler.aimdFactor*reserved, increaseShare)
 	case v.hasServingTask():
 		percent = initialLimitPercent
 	}
--- a/supervisor/throttler.go
+++ b/supervisor/throttler.go
@@ -22,7 +22,7 @@
 //	cost(f) = max over s of coefficient(f, s) / headroom(s)
 //
 // so that a few with a high interference coefficient don't throttle the others.
-// Limits decrease at once and increase gradually. An AIMD factor scales all of them:
+// Limits decrease at once and increase gradually, but for harmless fillers. An AIMD factor scales all of them:
 // it is halved while a target is still missed. A task that stays over its target for
 // maxMissTime pauses all fillers beside it, whatever the estimates say.
 
@@ -41,7 +41,7 @@
 	initialLimitPercent = 30                     // of a new filler beside serving tasks without a measured value
 	limitStepPercent    = 5                      // smaller changes aren't worth a call
 	adjustInterval      = 300 * time.Millisecond // between changes of the AIMD factor and increases of limits
-	increaseShare       = 0.5                    // of the difference to the computed limit, for each increase
+	increaseShare       = 0.5                    // of the difference to the computed limit, for each increase of a filler that isn't harmless
 	decreaseFactor      = 0.5                    // multiplies the AIMD factor at each change while a target is missed
 	factorIncrement     = 0.15                   // added to the AIMD factor at each change while every slack is above pv.MinSlack
 	minFactor           = 0.1                    // AIMD factor below which all limits are 0
@@ -152,8 +152,15 @@
 	percents := make([]int, len(fillers))
 	for _, i := range order {
 		f := fillers[i]
-		limit := t.aimdFactor * t.reserve(f.image, f.cores*share)
-		percents[i] = t.nextPercent(f.run, limit, adjust)
+		reserved, harmless := t.reserve(f.image, f.cores*share)
+		increase := 0.0
+		switch {
+		case adjust && harmless:
+			increase = 1
+		case adjust:
+			increase = increaseShare
+		}
+		percents[i] = t.nextPercent(f.run, t.aimdFactor*reserved, increase)
 	}
 	return percents
 }
@@ -194,14 +201,17 @@
 const minHeadroom = 0.01
 
 // smallLoss is the slack that a filler may take from a serving task for it to count as
-// harmless: it is throttled by the estimated headroom, not by the momentary one too.
+// harmless: it is throttled by the estimated headroom, not by the momentary one too, and its
+// limit rises at once.
 const smallLoss = 0.2
 
 // reserve returns the share of cores, 0 to 1, that the headroom of all serving tasks
-// admits for a filler, and subtracts it from the headroom.
-func (t *throttler) reserve(image string, cores float64) float64 {
+// admits for a filler, and subtracts it from the headroom. It also reports whether the filler
+// is harmless.
+func (t *throttler) reserve(image string, cores float64) (limit float64, harmless bool) {
 	limit, loss := t.admitted(t.headrooms, image, cores)
-	if loss > smallLoss {
+	harmless = loss <= smallLoss
+	if !harmless {
 		momentary, _ := t.admitted(t.momentary, image, cores)
 		limit = min(limit, momentary)
 	}
@@ -210,7 +220,7 @@
 			headrooms[i].headroom -= limit * cores * t.coefficient(image, headrooms[i].image)
 		}
 	}
-	return limit
+	return limit, harmless
 }
 
 // admitted returns the share of cores that the headrooms admit for a filler, and the most
@@ -228,8 +238,8 @@
 }
 
 // nextPercent returns the percentage to send to a filler for a computed limit, a share
-// of its cores from 0 to 1. It may be lower than the limit: increases are gradual.
-func (t *throttler) nextPercent(ref pv.RunRef, limit float64, mayIncrease bool) int {
+// of its cores from 0 to 1. An increase is limited to the given share of the difference.
+func (t *throttler) nextPercent(ref pv.RunRef, limit, increase float64) int {
 	sent, ok := t.sentPercents[ref]
 	if !ok {
 		sent = fullPercent
@@ -239,10 +249,10 @@
 	case t.paused || t.aimdFactor < minFactor:
 		want = 0
 	case want > sent && sent != unknownPercent:
-		if !mayIncrease {
+		if increase == 0 {
 			return sent
 		}
-		want = sent + int(math.Ceil(increaseShare*float64(want-sent)))
+		want = sent + int(math.Ceil(increase*float64(want-sent)))
 	}
 	want -= want % limitStepPercent
 	if want >= fullPercent-limitStepPercent {
--- a/supervisor/throttler_test.go
+++ b/supervisor/throttler_test.go
@@ -227,3 +227,31 @@
 		t.Errorf("got limit %d of the harsh filler beside tasks without headroom, want 20 or less", harsh)
 	}
 }
+
+// The load of a serving task falls after a peak that stopped all fillers: harmless ones have
+// their full speed again as soon as the headroom admits it, others get theirs step by step.
+func TestHarmlessFillersAfterPeak(t *testing.T) {
+	m := newWorkerModel()
+	m.setTrueCoefficients()
+	m.trueCoefficients["mild"], m.throttler.coefficients[pv.ImagePair{Filler: "mild", Serving: "serving"}] = 0.02, 0.02
+	m.baselineSlack = 0.9
+	for range 10 {
+		m.poll()
+	}
+	if got := m.throttler.sentPercents[m.fillers[1].run]; got != 0 {
+		t.Fatalf("got %d%% for a harmless filler at the peak, want 0", got)
+	}
+	m.baselineSlack = 4
+	polls := 0
+	for m.throttler.sentPercents[m.fillers[1].run] < fullPercent && polls < 100 {
+		m.poll()
+		polls++
+	}
+	if harsh := m.throttler.sentPercents[m.fillers[0].run]; harsh >= fullPercent {
+		t.Errorf("got %d%% for a filler that disturbs as soon as the harmless one has all, want less", harsh)
+	}
+	const headroomPolls, factorPolls = 1, 6 // the AIMD factor returns to 1 from its least value
+	if polls > headroomPolls+factorPolls {
+		t.Errorf("got full speed after %d polls, want at most %d", polls, headroomPolls+factorPolls)
+	}
+}
