--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -89,7 +89,8 @@
 		Store: store, Directory: directory, LeaderStatus: gw.LeaderStatus, Dial: messenger.DialTCP, Clock: leader.TimeSinceBoot, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfigWatcher(ctx, store, leader.TimeSinceBoot, logger, candidate)
-	callerAPI := runner.StartHTTP(listeners[s.FrontAddress], platform.NewCallerAPI(config, gw, logger), limits, logger)
+	api := platform.NewCallerAPI(config, gw, logger)
+	callerAPI := runner.StartHTTP(listeners[s.FrontAddress], api, limits, logger)
 	draining := make(chan struct{})
 	ready := runner.StartHTTP(listeners[s.ReadyAddress], readiness(func() bool {
 		select {
@@ -99,7 +100,7 @@
 			return config.Loaded()
 		}
 	}), limits, logger)
-	stopAdmin, err := runner.StartAdmin(s.AdminAddress, config.Loaded, registry, limits, logger)
+	stopAdmin, err := runner.StartAdmin(s.AdminAddress, config.Loaded, registry, limits, logger, runner.AdminRoute{Pattern: "POST /explain", Handler: api.ExplainHandler()})
 	if err != nil {
 		logger.Error("gateway: cannot serve the admin address; exiting", logfield.Error(err))
 		return runner.ExitFailed
--- a/cmd/pvalvectl/main.go
+++ b/cmd/pvalvectl/main.go
@@ -40,6 +40,7 @@
 	Report     *controller.Report    `arg:"subcommand:report" help:"print the report on all work by customer and plan"`
 	Workers    *controller.Workers   `arg:"subcommand:workers" help:"list workers with their tasks"`
 	Endpoints  *controller.Endpoints `arg:"subcommand:endpoints" help:"list the endpoints that the entry uses"`
+	Explain    *controller.Explain   `arg:"subcommand:explain" help:"say where a job would go now, and why, without sending it"`
 	Cells      *controller.Cells     `arg:"subcommand:cells" help:"list cells and homes with their holders"`
 }
 
@@ -84,6 +85,8 @@
 		return s.Endpoints
 	case s.Cells != nil:
 		return s.Cells
+	case s.Explain != nil:
+		return s.Explain
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 	Result  Result
 	State   pv.JobState // of a known job
 	Pending int64       // jobs of the queue of which no task has started
+	Detail  string      // of an explanation: planner.Explanation as JSON
 	Took    time.Duration
 }
 
@@ -154,6 +155,15 @@
 
 // Submit submits a job to a queue.
 func (g *Gateway) Submit(ctx context.Context, job pv.Job, queue pv.Queue) (Answer, error) {
+	return g.callWithJob(ctx, leader.QuestionSubmit, job, queue)
+}
+
+// Explain returns where a job would go if it were submitted to a queue now. It submits nothing.
+func (g *Gateway) Explain(ctx context.Context, job pv.Job, queue pv.Queue) (Answer, error) {
+	return g.callWithJob(ctx, leader.QuestionExplain, job, queue)
+}
+
+func (g *Gateway) callWithJob(ctx context.Context, kind string, job pv.Job, queue pv.Queue) (Answer, error) {
 	body, err := json.Marshal(job)
 	if err != nil {
 		return Answer{}, Error.Wrap(err)
@@ -162,7 +172,7 @@
 	if err != nil {
 		return Answer{}, Error.Wrap(err)
 	}
-	return g.call(ctx, &wire.Question{Kind: leader.QuestionSubmit, Job: string(job.ID), Queue: queue.Name, Body: body, Policy: policy}), nil
+	return g.call(ctx, &wire.Question{Kind: kind, Job: string(job.ID), Queue: queue.Name, Body: body, Policy: policy}), nil
 }
 
 // State returns a job's state.
@@ -231,7 +241,7 @@
 		}
 		switch reply.Verdict {
 		case leader.VerdictDone:
-			return Answer{Result: Done, State: pv.JobState(reply.State), Pending: reply.Pending}
+			return Answer{Result: Done, State: pv.JobState(reply.State), Pending: reply.Pending, Detail: reply.Detail}
 		case leader.VerdictUnknownJob:
 			return Answer{Result: UnknownJob}
 		case leader.VerdictBadInput:
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -172,6 +172,7 @@
 	QuestionState       = "state"
 	QuestionCancel      = "cancel"
 	QuestionPending     = "pending"
+	QuestionExplain     = "explain" // where a job would go; nothing is submitted
 )
 
 // handleQuestion answers a gateway's question. Changes are answered after the next
@@ -225,11 +226,38 @@
 		} else {
 			t.afterCommit = append(t.afterCommit, sendPending)
 		}
+	case QuestionExplain:
+		sendReply(t.explain(now, q))
 	default:
 		replyVerdict(VerdictBadInput)()
 	}
 }
 
+// explain returns where a job would go now, as JSON in the reply's detail.
+func (t *term) explain(now time.Time, q *wire.Question) *wire.Reply {
+	spec, queue, ok := decodeSubmission(pv.JobID(q.Job), q)
+	if !ok {
+		return &wire.Reply{Verdict: VerdictBadInput}
+	}
+	detail, err := json.Marshal(t.planner.Explain(now, spec, queue))
+	if err != nil {
+		return &wire.Reply{Verdict: VerdictBadInput}
+	}
+	return &wire.Reply{Verdict: VerdictDone, Detail: string(detail)}
+}
+
+// decodeSubmission decodes the job and the queue of a submission, and reports whether they are
+// valid.
+func decodeSubmission(id pv.JobID, q *wire.Question) (spec pv.Job, queue pv.Queue, ok bool) {
+	if err := json.Unmarshal(q.Body, &spec); err != nil || spec.ID != id || spec.Check() != "" {
+		return spec, queue, false
+	}
+	if err := json.Unmarshal(q.Policy, &queue); err != nil || queue.Check() != "" || len(q.Body) > pv.MaxJobEncodedBytes {
+		return spec, queue, false
+	}
+	return spec, queue, true
+}
+
 // handleSubmit accepts a job and answers once it is committed. A job that the planner
 // already has is accepted again without effect.
 func (p *peer) handleSubmit(now time.Time, id pv.JobID, q *wire.Question, replyVerdict func(string) func()) {
@@ -246,13 +274,8 @@
 		replyVerdict(VerdictStoreStalled)()
 		return
 	}
-	var spec pv.Job
-	var queue pv.Queue
-	if err := json.Unmarshal(q.Body, &spec); err != nil || spec.ID != id || spec.Check() != "" {
-		replyVerdict(VerdictBadInput)()
-		return
-	}
-	if err := json.Unmarshal(q.Policy, &queue); err != nil || queue.Check() != "" || len(q.Body) > pv.MaxJobEncodedBytes {
+	spec, queue, ok := decodeSubmission(id, q)
+	if !ok {
 		replyVerdict(VerdictBadInput)()
 		return
 	}
--- a/planner/doc.go
+++ b/planner/doc.go
@@ -7,6 +7,7 @@
 // Files:
 //   - coefficients.go: transfer and storage of interference coefficients
 //   - evacuation.go: evacuation of zones
+//   - explain.go: where a job would go, without submitting it
 //   - fillers.go: workers on which fillers run
 //   - interference.go: learning of interference coefficients
 //   - job.go: state of jobs, steps, tasks and runs
--- a/planner/place.go
+++ b/planner/place.go
@@ -89,7 +89,7 @@
 func (p *Planner) schedulableWorkers(now time.Time) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
-		if w.schedulable(now, p.settings) && !p.inEvacuatedZone(w) {
+		if p.unavailability(now, w) == "" {
 			out = append(out, w)
 		}
 	}
@@ -102,33 +102,40 @@
 	var out []readyStep
 	for _, j := range p.active {
 		for _, s := range j.steps {
-			if !s.ready(now) || !s.hasWaitingTask() {
-				continue
-			}
-			rs := readyStep{step: s, objective: s.objective(), workPerGain: p.workPerGain(s)}
-			timeToObjective := rs.objective.Sub(s.due)
-			switch {
-			case s.spec.Standing:
-			case now.After(s.due.Add(noGainFactor * timeToObjective)):
-				rs.latenessClass = 2
-			case now.Add(s.criticalPath).After(rs.objective):
-				rs.latenessClass = 1
+			if s.ready(now) && s.hasWaitingTask() {
+				out = append(out, p.rank(now, s))
 			}
-			out = append(out, rs)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b readyStep) int {
-		return cmp.Or(
-			cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
-			cmp.Compare(a.latenessClass, b.latenessClass),
-			cmp.Compare(a.workPerGain, b.workPerGain),
-			a.objective.Compare(b.objective),
-			cmp.Compare(a.step.job.spec.ID, b.step.job.spec.ID),
-		)
-	})
+	slices.SortStableFunc(out, compareReady)
 	return out
 }
 
+// rank returns the step with what decides its place in the order.
+func (p *Planner) rank(now time.Time, s *step) readyStep {
+	rs := readyStep{step: s, objective: s.objective(), workPerGain: p.workPerGain(s)}
+	timeToObjective := rs.objective.Sub(s.due)
+	switch {
+	case s.spec.Standing:
+	case now.After(s.due.Add(noGainFactor * timeToObjective)):
+		rs.latenessClass = 2
+	case now.Add(s.criticalPath).After(rs.objective):
+		rs.latenessClass = 1
+	}
+	return rs
+}
+
+// compareReady is the placement order.
+func compareReady(a, b readyStep) int {
+	return cmp.Or(
+		cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
+		cmp.Compare(a.latenessClass, b.latenessClass),
+		cmp.Compare(a.workPerGain, b.workPerGain),
+		a.objective.Compare(b.objective),
+		cmp.Compare(a.step.job.spec.ID, b.step.job.spec.ID),
+	)
+}
+
 func (s *step) hasWaitingTask() bool {
 	for _, t := range s.tasks {
 		if t.waiting() {
@@ -139,16 +146,22 @@
 }
 
 // fits reports whether the task may run on the worker.
-func (w *worker) fits(t *task) bool {
+func (w *worker) fits(t *task) bool { return w.misfit(t) == "" }
+
+// misfit returns why the task may not run on the worker, or an empty string if it may.
+func (w *worker) misfit(t *task) string {
 	s := t.step
-	if w.state.Service != s.job.queue.Service || t.avoidWorker == w.state.ID || !w.admits(t) {
-		return false
-	}
-	if s.spec.RequiredLabel != "" && !slices.Contains(w.state.Labels, s.spec.RequiredLabel) {
-		return false
-	}
-	if !w.reserved.Add(reservation(s.spec)).Fits(w.state.Capacity) {
-		return false
+	switch {
+	case w.state.Service != s.job.queue.Service:
+		return "otherService"
+	case t.avoidWorker == w.state.ID:
+		return "failedThere"
+	case !w.admits(t):
+		return "unconfirmedStarts"
+	case s.spec.RequiredLabel != "" && !slices.Contains(w.state.Labels, s.spec.RequiredLabel):
+		return "noLabel"
+	case !w.reserved.Add(reservation(s.spec)).Fits(w.state.Capacity):
+		return "noRoom"
 	}
 	if s.spec.MaxPerWorker > 0 {
 		n := 0
@@ -157,9 +170,11 @@
 				n++
 			}
 		}
-		return n < s.spec.MaxPerWorker
+		if n >= s.spec.MaxPerWorker {
+			return "maxPerWorker"
+		}
 	}
-	return true
+	return ""
 }
 
 // score rates a worker that fits; the highest score wins.
--- a/planner/work.go
+++ b/planner/work.go
@@ -31,12 +31,18 @@
 	return cores * max(s.spec.Estimate, time.Millisecond).Seconds()
 }
 
-// addWork sets a job's work and adds it to the total of its queue.
-func (p *Planner) addWork(j *job) {
+// setCoreSeconds sets the work of one occurrence of the job.
+func (j *job) setCoreSeconds() {
+	j.coreSeconds = 0
 	for _, s := range j.steps {
 		j.coreSeconds += s.taskCoreSeconds() * float64(len(s.tasks))
 	}
 	j.coreSeconds /= float64(max(1, j.spec.Occurrences))
+}
+
+// addWork sets a job's work and adds it to the total of its queue.
+func (p *Planner) addWork(j *job) {
+	j.setCoreSeconds()
 	m := p.workTotals[j.queue.Name]
 	p.workTotals[j.queue.Name] = workTotal{coreSeconds: m.coreSeconds + j.coreSeconds, jobs: m.jobs + 1}
 }
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -97,11 +97,27 @@
 // minRemainingLease is the remaining lease that a worker needs to get new runs.
 const minRemainingLease = time.Second
 
-// schedulable reports whether the worker may get new runs.
-func (w *worker) schedulable(now time.Time, s Settings) bool {
-	return w.fencingTokenConfirmed && w.connected && !w.unanswering && !w.state.Draining && w.deregisteredAt.IsZero() &&
-		now.Sub(w.lease.readAt) < s.MaxReportAge && !now.Before(w.quarantinedUntil) &&
-		w.lease.remaining(now) > minRemainingLease
+// unavailability returns why the worker may get no new runs, or an empty string if it may.
+func (p *Planner) unavailability(now time.Time, w *worker) string {
+	switch {
+	case !w.connected:
+		return "noLink"
+	case !w.fencingTokenConfirmed:
+		return "notPolledYet"
+	case w.unanswering:
+		return "doesNotAnswer"
+	case w.state.Draining || !w.deregisteredAt.IsZero():
+		return "leaving"
+	case now.Sub(w.lease.readAt) >= p.settings.MaxReportAge:
+		return "lastPollTooOld"
+	case now.Before(w.quarantinedUntil):
+		return "quarantined"
+	case w.lease.remaining(now) <= minRemainingLease:
+		return "leaseTooShort"
+	case p.inEvacuatedZone(w):
+		return "zoneEvacuated"
+	}
+	return ""
 }
 
 // renewLease renews the worker's lease and returns its end, a reading of the
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -105,8 +105,14 @@
 	return Error.Wrap(s.server.Shutdown(ctx))
 }
 
-// StartAdmin starts the admin server with /healthz, /readyz and /metrics.
-func StartAdmin(address netip.AddrPort, ready func() bool, r *prometheus.Registry, limits *limiter.Limiter, logger *zap.Logger) (stop func(context.Context) error, err error) {
+// AdminRoute is a route of the admin server beside the common ones.
+type AdminRoute struct {
+	Pattern string // of http.ServeMux
+	Handler http.Handler
+}
+
+// StartAdmin starts the admin server with /healthz, /readyz, /metrics and the given routes.
+func StartAdmin(address netip.AddrPort, ready func() bool, r *prometheus.Registry, limits *limiter.Limiter, logger *zap.Logger, routes ...AdminRoute) (stop func(context.Context) error, err error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -115,6 +121,9 @@
 		}
 	})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	for _, route := range routes {
+		mux.Handle(route.Pattern, route.Handler)
+	}
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, Error.Wrap(err)
