--- a/leader/term.go
+++ b/leader/term.go
@@ -296,6 +296,9 @@
 		if e.Reason != "" {
 			fields = append(fields, zap.String("reason", e.Reason))
 		}
+		if e.Detail != "" {
+			fields = append(fields, zap.String("detail", e.Detail))
+		}
 		t.metrics.decisions.WithLabelValues(e.Kind, e.Reason).Inc()
 		t.logger.Info("planner: "+e.Kind, append(fields, zap.Int64("epoch", t.epoch))...)
 	}
--- a/planner/fillers.go
+++ b/planner/fillers.go
@@ -12,7 +12,7 @@
 	if share == 0 {
 		return 0
 	}
-	return share * p.expectedThrottling(w, image, float64(milliCores)/1000).cpuLimit
+	return share * p.expectedThrottling(w, image, float64(milliCores)/1000).cpuLimit / max(1, p.avoided[w])
 }
 
 // fillerCoreShare returns the fraction of their cores that the worker's fillers get
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -73,6 +73,19 @@
 	meanCores     map[string]float64 // moving average of the fillers' cores beside its tasks, by image; nil before the first measurement
 }
 
+// predict returns the slack that the model expects of a task beside the fillers, or 0 before the
+// first measurement.
+func (i interference) predict(serving string, model *slackModel, fillers []imageCores) float64 {
+	if model.meanCores == nil {
+		return 0
+	}
+	slack := model.baselineSlack
+	for _, f := range fillers {
+		slack -= i.coefficient(pv.ImagePair{Filler: f.image, Serving: serving}) * f.cores
+	}
+	return slack
+}
+
 // learn updates the model and the coefficients with the measured slack of a serving
 // task and the cores that fillers used on its worker at the same time.
 func (i interference) learn(serving string, model *slackModel, slack float64, fillers []imageCores) {
@@ -159,7 +172,7 @@
 }
 
 // learnFromPoll learns from the measured values in a poll of the worker.
-func (p *Planner) learnFromPoll(w *worker, running []pv.RunStatus) {
+func (p *Planner) learnFromPoll(now time.Time, w *worker, running []pv.RunStatus) {
 	if w.servingRuns == 0 {
 		return
 	}
@@ -176,7 +189,10 @@
 		}
 		serving := r.task.step
 		slack := float64(serving.spec.LatencyTarget.Milliseconds()) / float64(s.Measured) // Measured is in milliseconds
-		p.interference.learn(serving.spec.Image, &serving.slackModel, slack, measured.fillers)
+		w.sampleServing(now, p.interference.predict(serving.spec.Image, &serving.slackModel, measured.fillers), slack)
+		if !w.speed.isSlow(now) {
+			p.interference.learn(serving.spec.Image, &serving.slackModel, slack, measured.fillers)
+		}
 	}
 }
 
--- a/planner/job.go
+++ b/planner/job.go
@@ -82,6 +82,7 @@
 	leaving         bool      // its worker drained or deregistered
 	progressPercent int
 	pace            pace // of a filler
+	speedSampled    bool // its pace has been compared with its step's
 	assignedAt      time.Time
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -29,6 +29,7 @@
 
 func (p *Planner) place(now time.Time) {
 	p.passStartedAt = now
+	p.avoided = p.slowWorkers(now)
 	workers := p.schedulableWorkers(now)
 	if len(workers) == 0 {
 		return
@@ -186,6 +187,9 @@
 	capacity := w.state.Capacity
 	reservedShare := w.reserved.DominantShare(capacity)
 	score := -failurePenalty * float64(w.consecutiveFailures)
+	if p.avoided[w] > 0 {
+		score -= slowPenalty
+	}
 	switch {
 	case s.spec.Filler:
 		score += p.fillerSpeed(w, s.spec.Image, s.spec.Size.MilliCores) - headroomPenalty*p.expectedThrottling(w, s.spec.Image, float64(s.spec.Size.MilliCores)/1000).headroomShare
@@ -220,6 +224,7 @@
 	servingWorkerBonus = 1.0
 	headroomPenalty    = 0.3 // for a filler that takes all slack headroom of the serving tasks
 	failurePenalty     = 0.4 // per consecutive failed run on the worker
+	slowPenalty        = 2.5 // exceeds the highest score without a rack, so that a slow worker is the last choice
 )
 
 func fraction(part, total int64) float64 { return float64(part) / float64(max(1, total)) }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -30,6 +30,7 @@
 	Incarnation  int64
 	FencingToken int64
 	ReportAge    time.Duration // age of the worker's last poll result; 0 or at least an hour if there is none
+	Detail       string        // for logs only
 }
 
 // Planner plans the jobs of one site. It isn't safe for concurrent use.
@@ -42,6 +43,8 @@
 	queues   map[string]pv.Queue
 	// evacuated holds the zones whose workers get no new runs.
 	evacuated map[string]bool
+	// avoided holds the slow workers with their slowness, as of the latest placement pass.
+	avoided map[*worker]float64
 
 	interference         interference
 	passStartedAt        time.Time              // of the latest placement pass
--- a/planner/report.go
+++ b/planner/report.go
@@ -154,6 +154,7 @@
 			p.finishRun(now, r, e.Kind, e.Checkpoint, "")
 		}
 	}
+	wasSlow := w.speed.slow
 	w.strayRuns = nil
 	for _, s := range poll.Running {
 		r, ok := w.runs[s.Run]
@@ -163,7 +164,8 @@
 		}
 		p.applyStatus(now, r, s)
 	}
-	p.learnFromPoll(w, poll.Running)
+	p.learnFromPoll(now, w, poll.Running)
+	p.reportSpeed(w, wasSlow)
 	// The worker has answered under the new token, so it refuses starts of earlier
 	// incarnations and leaders. Runs of earlier incarnations that it didn't list have
 	// ended; if it has listed all its ends, they were lost with their incarnation.
@@ -246,8 +248,12 @@
 	}
 	p.observeRun(now, r)
 	r.progressPercent = s.ProgressPercent
-	if r.task.step.spec.Filler {
-		r.pace.note(now, s.ProgressPercent, fraction(s.Measured, r.task.step.spec.Size.MilliCores)) // Measured is in millicores
+	switch spec := r.task.step.spec; {
+	case spec.Filler:
+		r.pace.note(now, s.ProgressPercent, fraction(s.Measured, spec.Size.MilliCores)) // Measured is in millicores
+		r.sampleFiller(now)
+	case !spec.Standing:
+		r.pace.note(now, s.ProgressPercent, 1) // it has its cores for itself
 	}
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
--- /dev/null
+++ b/planner/speed.go
@@ -0,0 +1,117 @@
+package planner
+
+// This file defines how fast a worker is, learned by comparison with its peers at the same time:
+// the tail latency of a serving task with what the load of its step predicts, and the progress of
+// a filler, for the cores that it was given, with that of other tasks of its step. A wrong
+// estimate of a job is the same on all workers, and so is a load that slows the whole fleet;
+// neither makes a worker slow.
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Parameters of the estimate.
+const (
+	slownessSmoothing  = 0.25            // weight of a new sample in the moving average
+	maxSampledSlowness = 8.0             // single samples beyond it, or below its inverse, count as it
+	slowFrom           = 2.2             // times the duration on its peers, from which a worker is slow
+	slowUntil          = 1.5             // and below which it is well again
+	minSlowSamples     = 5               // before a worker may count as slow
+	slownessMemory     = 5 * time.Second // without a sample, after which a worker counts as well again
+	maxSlowShare       = 0.5             // of a service's workers: if more are slow, none is avoided
+)
+
+// workerSpeed is what is known of the speed of one incarnation of a worker. A new leader learns it
+// again from the polls.
+type workerSpeed struct {
+	logSlowness float64 // moving average of the logarithm of the samples
+	samples     int
+	sampledAt   time.Time
+	slow        bool
+	slowSince   time.Time
+}
+
+// sample records that work took the given multiple of its time on other workers.
+func (s *workerSpeed) sample(now time.Time, slowness float64) {
+	if math.IsNaN(slowness) {
+		return
+	}
+	value := math.Log(max(1/maxSampledSlowness, min(maxSampledSlowness, slowness)))
+	if s.samples == 0 || now.Sub(s.sampledAt) > slownessMemory {
+		*s = workerSpeed{logSlowness: value}
+	} else {
+		s.logSlowness += slownessSmoothing * (value - s.logSlowness)
+	}
+	s.samples++
+	s.sampledAt = now
+	switch {
+	case !s.slow && s.samples >= minSlowSamples && s.slowness() >= slowFrom:
+		s.slow, s.slowSince = true, now
+	case s.slow && s.slowness() < slowUntil:
+		s.slow = false
+	}
+}
+
+// slowness returns the multiple of the time on other workers that work takes.
+func (s *workerSpeed) slowness() float64 { return math.Exp(s.logSlowness) }
+
+// isSlow reports whether the worker counts as slow.
+func (s *workerSpeed) isSlow(now time.Time) bool {
+	return s.slow && now.Sub(s.sampledAt) <= slownessMemory
+}
+
+// reportSpeed reports a worker that has become slow, or well again.
+func (p *Planner) reportSpeed(w *worker, wasSlow bool) {
+	if w.speed.slow == wasSlow {
+		return
+	}
+	kind := "worker slow"
+	if wasSlow {
+		kind = "worker well again"
+	}
+	p.addEvent(Event{Kind: kind, Worker: w.state.ID, Incarnation: w.state.Incarnation, Detail: fmt.Sprintf("takes %.1f times as long as its peers, by %d samples", w.speed.slowness(), w.speed.samples)})
+}
+
+// slowWorkers returns the workers to avoid, with their slowness. If more than maxSlowShare of a
+// service's workers are slow, all of that service are used: there is no better place.
+func (p *Planner) slowWorkers(now time.Time) map[*worker]float64 {
+	all, slow := map[string]int{}, map[string]int{}
+	for _, w := range p.workers {
+		all[w.state.Service]++
+		if w.speed.isSlow(now) {
+			slow[w.state.Service]++
+		}
+	}
+	out := map[*worker]float64{}
+	for _, w := range p.workers {
+		if service := w.state.Service; w.speed.isSlow(now) && float64(slow[service]) <= maxSlowShare*float64(all[service]) {
+			out[w] = w.speed.slowness()
+		}
+	}
+	return out
+}
+
+// sampleServing compares the slack of a serving task with the one that is predicted. A slack below
+// 1 is a missed target, so the ratio is one of latencies.
+func (w *worker) sampleServing(now time.Time, predicted, measured float64) {
+	if predicted > 0 && measured > 0 {
+		w.speed.sample(now, predicted/measured)
+	}
+}
+
+// sampleFiller compares the time at full speed of a filler's task with the mean of its step, once
+// the run has shown it.
+func (r *run) sampleFiller(now time.Time) {
+	others := r.task.step.fullSpeed
+	if r.speedSampled || others.tasks < minSpeedPeers || r.pace.percent-r.pace.firstPercent < minMeasuredPercent {
+		return
+	}
+	r.speedSampled = true
+	r.worker.speed.sample(now, float64(r.wholeByProgress())/float64(others.total/time.Duration(others.tasks)))
+}
+
+// minSpeedPeers is the number of tasks of a step that have ended from which another is compared
+// with them.
+const minSpeedPeers = 2
--- a/planner/stragglers.go
+++ b/planner/stragglers.go
@@ -1,16 +1,17 @@
 package planner
 
-// This file defines which running fillers are moved to another worker, because they lag behind:
-// the step of a job ends with its slowest task, and a filler stands still for as long as the
-// serving tasks beside it need all of their slack.
+// This file defines which running tasks are moved to another worker, because they lag behind:
+// the step of a job ends with its slowest task. A filler stands still for as long as the serving
+// tasks beside it need all of their slack, and any task is slow on a slow worker (speed.go).
 //
-// A move stops the run, which saves a checkpoint, and starts the task again where it would be
+// A move stops the run, which may save a checkpoint, and starts the task again where it would be
 // fast. It pays if the task would end sooner by enough:
 //
 //	stay = remaining work / present speed
-//	move = MoveTime + remaining work / expected speed there
+//	move = MoveTime + work that is left there / expected speed there
 //
-// The work is measured in time at full speed. It follows from the progress that the run has made
+// What is left there is all of the work without a checkpoint. Fillers without one are moved from
+// slow workers alone. The work is measured in time at full speed. It follows from the progress that the run has made
 // with the cores that it was given, so that a wrong estimate of the submitter is no slow worker.
 
 import (
@@ -48,6 +49,7 @@
 // Progress, in percent, from which a run tells how long its task takes.
 const (
 	minMeasuredPercent = 25 // of a run in progress
+	minSlowPercent     = 10 // of a run on a slow worker
 	minWholeTask       = 50 // of a run that has succeeded
 )
 
@@ -81,14 +83,19 @@
 func (r *run) remaining() time.Duration {
 	s, p := r.task.step, r.pace
 	whole := s.spec.Estimate
-	if done := p.percent - p.firstPercent; done >= minMeasuredPercent {
-		whole = p.worked * 100 / time.Duration(done)
+	if p.percent-p.firstPercent >= minMeasuredPercent || p.percent-p.firstPercent >= minSlowPercent && r.worker.speed.slow {
+		whole = r.wholeByProgress()
 	} else if s.fullSpeed.tasks > 0 {
 		whole = s.fullSpeed.total / time.Duration(s.fullSpeed.tasks)
 	}
 	return whole * time.Duration(100-p.percent) / 100
 }
 
+// wholeByProgress returns the time at full speed of the run's task by its own progress.
+func (r *run) wholeByProgress() time.Duration {
+	return r.pace.worked * 100 / time.Duration(max(1, r.pace.percent-r.pace.firstPercent))
+}
+
 // Parameters of moves.
 const (
 	minMoveRunTime = 1200 * time.Millisecond // age of a run by which its CPU limit has settled
@@ -106,17 +113,17 @@
 
 // straggler is a run that would end sooner if it were fast elsewhere.
 type straggler struct {
-	run       *run
-	remaining time.Duration // at full speed
-	stay      time.Duration // until its end without a move
+	run  *run
+	left time.Duration // work elsewhere, at full speed
+	stay time.Duration // until its end without a move
 }
 
 // gain returns by how much sooner the task ends after a move to a worker where it has the speed.
 func (s straggler) gain(speed float64, moveTime time.Duration) time.Duration {
-	return s.stay - moveTime - time.Duration(float64(s.remaining)/speed)
+	return s.stay - moveTime - time.Duration(float64(s.left)/speed)
 }
 
-// moveStragglers stops the fillers for which a move pays most.
+// moveStragglers stops the runs for which a move pays most.
 func (p *Planner) moveStragglers(now time.Time) {
 	workers := p.schedulableWorkers(now)
 	limit := max(minMoveLimit, len(workers)/workersPerMove)
@@ -129,7 +136,7 @@
 		step := s.run.task.step
 		planned[to] += step.spec.Size.MilliCores
 		p.stopRun(s.run, "slowThere")
-		p.addEvent(Event{Kind: "filler moves", Job: step.job.spec.ID, Run: s.run.ref(), Worker: s.run.worker.state.ID, Incarnation: s.run.incarnation, Reason: "slowThere"})
+		p.addEvent(Event{Kind: kindOf(step.spec) + " moves", Job: step.job.spec.ID, Run: s.run.ref(), Worker: s.run.worker.state.ID, Incarnation: s.run.incarnation, Reason: "slowThere"})
 		if limit--; limit == 0 {
 			return
 		}
@@ -143,16 +150,22 @@
 func (p *Planner) stragglers(now time.Time, workers []*worker, limit int) []straggler {
 	var out []straggler
 	for _, w := range workers {
-		if w.fillerMilliCores == 0 {
+		slowness := p.avoided[w]
+		if w.fillerMilliCores == 0 && slowness == 0 {
 			continue
 		}
 		for _, r := range w.runs {
-			spec := r.task.step.spec
-			if !spec.Filler || !spec.Checkpointable || spec.Standing || spec.Gang || r.stopping || r.pace.notedAt.IsZero() || now.Sub(r.assignedAt) < minMoveRunTime {
+			if !r.mayMove(now, slowness > 0) {
 				continue
 			}
-			s := straggler{run: r, remaining: r.remaining()}
-			s.stay = time.Duration(float64(s.remaining) / max(minStaySpeed, r.pace.speed))
+			remaining := r.remaining()
+			s := straggler{run: r, left: remaining, stay: time.Duration(float64(remaining) / max(minStaySpeed, r.pace.speed))}
+			if !r.task.step.spec.Checkpointable {
+				s.left = remaining * 100 / time.Duration(max(1, 100-r.pace.percent))
+			}
+			if slowness > 0 {
+				s.left = time.Duration(float64(s.left) / slowness) // it was measured on the slow worker
+			}
 			if s.gain(1, p.settings.MoveTime()) >= minMoveGain {
 				out = append(out, s)
 			}
@@ -164,14 +177,30 @@
 	return out[:min(limit, len(out))]
 }
 
+// mayMove reports whether the run may be a straggler: a filler with checkpoints, or any run on a
+// slow worker that has shown its progress there.
+func (r *run) mayMove(now time.Time, onSlowWorker bool) bool {
+	spec := r.task.step.spec
+	if spec.Standing || spec.Gang || r.stopping || r.pace.notedAt.IsZero() {
+		return false
+	}
+	if onSlowWorker {
+		return r.pace.percent-r.pace.firstPercent >= minSlowPercent
+	}
+	return spec.Filler && spec.Checkpointable && now.Sub(r.assignedAt) >= minMoveRunTime
+}
+
 // moveTarget returns a worker to which a move pays, or nil.
 func (p *Planner) moveTarget(s straggler, workers []*worker, planned map[*worker]int64) *worker {
 	spec := s.run.task.step.spec
 	for _, w := range workers {
-		if w == s.run.worker || !w.fits(s.run.task) {
+		if w == s.run.worker || p.avoided[w] > 0 || !w.fits(s.run.task) {
 			continue
 		}
-		speed := p.fillerSpeed(w, spec.Image, planned[w]+spec.Size.MilliCores)
+		speed := 1.0
+		if spec.Filler {
+			speed = p.fillerSpeed(w, spec.Image, planned[w]+spec.Size.MilliCores)
+		}
 		if speed < minStartSpeed {
 			continue
 		}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -54,6 +54,7 @@
 	strayRuns     []pv.RunRef // listed by the worker, but ended or unknown here; to be stopped
 	fullOrdersDue bool        // the next orders must be full
 
+	speed               workerSpeed
 	consecutiveFailures int
 	quarantinedUntil    time.Time
 	leaseRenewedAt      time.Time
@@ -76,7 +77,7 @@
 	w.fencingToken = epoch<<incarnationBits | w.incarnationCount
 	w.stateKnown = true
 	w.fencingTokenConfirmed, w.formerRunsEnded = false, false
-	w.lease = incarnationLease{}
+	w.lease, w.speed = incarnationLease{}, workerSpeed{}
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd = 0, 0, 0
 	w.unsentStarts, w.unsentStops, w.strayRuns = nil, nil, nil
 	w.deregisteredAt = time.Time{}
