--- a/planner/speed_test.go
+++ b/planner/speed_test.go
@@ -183,6 +183,37 @@
 	}
 }
 
+// More batch tasks run on a slow worker than others have room for: as many as fit are moved at
+// once, the others go on.
+func TestSlowWorkerAndLittleRoomElsewhere(t *testing.T) {
+	f := newFleet(t, 3)
+	f.serve(2*time.Second, even)
+	step := stepWithTasks(12)
+	step.Size.MilliCores, step.Estimate = 1500, batchTime
+	f.submit("j", step)
+	f.tickAndCommit()
+	running := len(f.p.workers["w00"].runs) - 1
+	standing := stepWithTasks(2)
+	standing.Size.MilliCores, standing.Standing, standing.MaxPerWorker = 5000, true, 1
+	f.submit("s", standing)
+	moves := 0
+	for range 20 {
+		f.serve(250*time.Millisecond, f.slowFirst(1, 8))
+		for _, e := range f.p.Events() {
+			if e.Kind == "batch moves" {
+				moves++
+			}
+		}
+		if moves > 0 {
+			break
+		}
+	}
+	const want = 2 // one for each other worker
+	if running <= want || moves != want {
+		t.Errorf("got %d of %d tasks moved, want %d", moves, running, want)
+	}
+}
+
 // Only a slow worker has room: the task starts there.
 func TestSlowWorkerIsUsedIfOthersAreFull(t *testing.T) {
 	f := newFleet(t, 3)
--- a/planner/stragglers.go
+++ b/planner/stragglers.go
@@ -18,6 +18,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	pv "persimmonvalve"
 )
 
 // pace is the progress of a filler's run and the speed at which it was made. Speeds are fractions
@@ -127,14 +129,14 @@
 func (p *Planner) moveStragglers(now time.Time) {
 	workers := p.schedulableWorkers(now)
 	limit := max(minMoveLimit, len(workers)/workersPerMove)
-	planned := map[*worker]int64{} // size of the fillers that are moved there
+	planned := map[*worker]plannedMoves{}
 	for _, s := range p.stragglers(now, workers, searchesPerMove*limit) {
 		to := p.moveTarget(s, workers, planned)
 		if to == nil {
 			continue
 		}
 		step := s.run.task.step
-		planned[to] += step.spec.Size.MilliCores
+		planned[to] = planned[to].add(step.spec)
 		p.stopRun(s.run, "slowThere")
 		p.addEvent(Event{Kind: kindOf(step.spec) + " moves", Job: step.job.spec.ID, Run: s.run.ref(), Worker: s.run.worker.state.ID, Incarnation: s.run.incarnation, Reason: "slowThere"})
 		if limit--; limit == 0 {
@@ -143,6 +145,20 @@
 	}
 }
 
+// plannedMoves are the moves of one pass to a worker.
+type plannedMoves struct {
+	reserved         pv.Resources
+	fillerMilliCores int64
+}
+
+func (m plannedMoves) add(s *pv.Step) plannedMoves {
+	m.reserved = m.reserved.Add(reservation(s))
+	if s.Filler {
+		m.fillerMilliCores += s.Size.MilliCores
+	}
+	return m
+}
+
 // searchesPerMove bounds the stragglers for which a pass looks for another worker.
 const searchesPerMove = 3
 
@@ -191,15 +207,19 @@
 }
 
 // moveTarget returns a worker to which a move pays, or nil.
-func (p *Planner) moveTarget(s straggler, workers []*worker, planned map[*worker]int64) *worker {
+func (p *Planner) moveTarget(s straggler, workers []*worker, planned map[*worker]plannedMoves) *worker {
 	spec := s.run.task.step.spec
 	for _, w := range workers {
 		if w == s.run.worker || p.avoided[w] > 0 || !w.fits(s.run.task) {
 			continue
 		}
+		with := planned[w].add(spec)
+		if !w.reserved.Add(with.reserved).Fits(w.state.Capacity) {
+			continue
+		}
 		speed := 1.0
 		if spec.Filler {
-			speed = p.fillerSpeed(w, spec.Image, planned[w]+spec.Size.MilliCores)
+			speed = p.fillerSpeed(w, spec.Image, with.fillerMilliCores)
 		}
 		if speed < minStartSpeed {
 			continue
