--- a/planner/interference.go
+++ b/planner/interference.go
@@ -73,17 +73,16 @@
 	meanCores     map[string]float64 // moving average of the fillers' cores beside its tasks, by image; nil before the first measurement
 }
 
-// predict returns the slack that the model expects of a task beside the fillers, or 0 before the
-// first measurement.
-func (i interference) predict(serving string, model *slackModel, fillers []imageCores) float64 {
+// predict returns the slack that the model expects of a task beside the fillers, and how much of
+// it they take. Both are 0 before the first measurement.
+func (i interference) predict(serving string, model *slackModel, fillers []imageCores) (slack, loss float64) {
 	if model.meanCores == nil {
-		return 0
+		return 0, 0
 	}
-	slack := model.baselineSlack
 	for _, f := range fillers {
-		slack -= i.coefficient(pv.ImagePair{Filler: f.image, Serving: serving}) * f.cores
+		loss += i.coefficient(pv.ImagePair{Filler: f.image, Serving: serving}) * f.cores
 	}
-	return slack
+	return model.baselineSlack - loss, loss
 }
 
 // learn updates the model and the coefficients with the measured slack of a serving
@@ -189,7 +188,8 @@
 		}
 		serving := r.task.step
 		slack := float64(serving.spec.LatencyTarget.Milliseconds()) / float64(s.Measured) // Measured is in milliseconds
-		w.sampleServing(now, p.interference.predict(serving.spec.Image, &serving.slackModel, measured.fillers), slack)
+		predicted, loss := p.interference.predict(serving.spec.Image, &serving.slackModel, measured.fillers)
+		w.sampleServing(now, predicted, loss, slack)
 		if !w.speed.isSlow(now) {
 			p.interference.learn(serving.spec.Image, &serving.slackModel, slack, measured.fillers)
 		}
--- a/planner/speed.go
+++ b/planner/speed.go
@@ -14,11 +14,11 @@
 
 // Parameters of the estimate.
 const (
-	slownessSmoothing  = 0.25            // weight of a new sample in the moving average
+	slownessSmoothing  = 0.2             // weight of a new sample in the moving average
 	maxSampledSlowness = 8.0             // single samples beyond it, or below its inverse, count as it
-	slowFrom           = 2.2             // times the duration on its peers, from which a worker is slow
+	slowFrom           = 2.5             // times the duration on its peers, from which a worker is slow
 	slowUntil          = 1.5             // and below which it is well again
-	minSlowSamples     = 5               // before a worker may count as slow
+	minSlowSamples     = 6               // before a worker may count as slow
 	slownessMemory     = 5 * time.Second // without a sample, after which a worker counts as well again
 	maxSlowShare       = 0.5             // of a service's workers: if more are slow, none is avoided
 )
@@ -93,25 +93,32 @@
 	return out
 }
 
-// sampleServing compares the slack of a serving task with the one that is predicted. A slack below
-// 1 is a missed target, so the ratio is one of latencies.
-func (w *worker) sampleServing(now time.Time, predicted, measured float64) {
-	if predicted > 0 && measured > 0 {
+// sampleServing compares the slack of a serving task with the one that is predicted; the ratio is
+// one of latencies. A task from which fillers take much tells more about them.
+func (w *worker) sampleServing(now time.Time, predicted, loss, measured float64) {
+	if predicted > 0 && measured > 0 && loss <= maxSampledLoss {
 		w.speed.sample(now, predicted/measured)
 	}
 }
 
+// maxSampledLoss is the most slack that fillers may take from a serving task whose latency is
+// compared.
+const maxSampledLoss = 0.2
+
 // sampleFiller compares the time at full speed of a filler's task with the mean of its step, once
 // the run has shown it.
 func (r *run) sampleFiller(now time.Time) {
 	others := r.task.step.fullSpeed
-	if r.speedSampled || others.tasks < minSpeedPeers || r.pace.percent-r.pace.firstPercent < minMeasuredPercent {
+	if r.speedSampled || others.tasks < minSpeedPeers || r.pace.percent-r.pace.firstPercent < minComparedPercent {
 		return
 	}
 	r.speedSampled = true
 	r.worker.speed.sample(now, float64(r.wholeByProgress())/float64(others.total/time.Duration(others.tasks)))
 }
 
-// minSpeedPeers is the number of tasks of a step that have ended from which another is compared
-// with them.
-const minSpeedPeers = 2
+// A filler is compared with the other tasks of its step if enough of these have ended, and once it
+// has made enough progress itself, in percent.
+const (
+	minSpeedPeers      = 3
+	minComparedPercent = 50
+)
