--- a/planner/speed.go
+++ b/planner/speed.go
@@ -30,7 +30,6 @@
 	samples     int
 	sampledAt   time.Time
 	slow        bool
-	slowSince   time.Time
 }
 
 // sample records that work took the given multiple of its time on other workers.
@@ -48,7 +47,7 @@
 	s.sampledAt = now
 	switch {
 	case !s.slow && s.samples >= minSlowSamples && s.slowness() >= slowFrom:
-		s.slow, s.slowSince = true, now
+		s.slow = true
 	case s.slow && s.slowness() < slowUntil:
 		s.slow = false
 	}
