--- a/planner/evacuation.go
+++ b/planner/evacuation.go
@@ -6,6 +6,9 @@
 // known to have started is withdrawn: it is stopped, and its task starts elsewhere once the
 // stop is proved. If it belongs to a gang, the whole gang is withdrawn.
 //
+// Workers of a zone that is taken back may be cold, and slow for seconds. They are the last choice
+// until they show that they aren't slow (speed.go).
+//
 // While a zone is evacuated, orders to its workers permit no starts, so that the permission of
 // earlier orders runs out even if the withdrawal can't be stored.
 
@@ -34,9 +37,15 @@
 	p.evacuated = next
 	var changes []EvacuationChange
 	for zone := range former {
-		if !next[zone] {
-			changes = append(changes, p.zoneChange(zone, false))
-			p.placementDue = true
+		if next[zone] {
+			continue
+		}
+		changes = append(changes, p.zoneChange(zone, false))
+		p.placementDue = true
+		for _, w := range p.workers {
+			if w.stateKnown && w.state.Location.Zone == zone {
+				w.returnedAt, w.speed = now, workerSpeed{}
+			}
 		}
 	}
 	for zone := range next {
--- a/planner/evacuation_test.go
+++ b/planner/evacuation_test.go
@@ -216,6 +216,33 @@
 	}
 }
 
+// A zone is taken back while jobs arrive: its workers may be cold, so that the jobs start in the
+// other zone while there is room, and there once that is used up or the time is over.
+func TestColdZoneTakenBack(t *testing.T) {
+	h := newZonedHarness(t)
+	h.evacuate("z1")
+	h.advance(time.Second)
+	h.evacuate()
+	h.submit("j", stepWithTasks(6))
+	h.tickAndCommit()
+	if got := len(h.runsOn("a")); got != 0 {
+		t.Errorf("got %d of 6 tasks in the zone that was just taken back, want none", got)
+	}
+	h.submit("k", stepWithTasks(6))
+	h.tickAndCommit()
+	if got := len(h.runsOn("a")); got != 4 {
+		t.Errorf("got %d tasks in the zone with the other one full, want 4", got)
+	}
+	h.pollEach("a", "b")
+	h.advance(maxColdTime)
+	h.pollEach("a", "b")
+	h.submit("l", stepWithTasks(2))
+	h.tickAndCommit()
+	if got := len(h.runsOn("a")); got != 6 {
+		t.Errorf("got %d tasks in the zone after %v, want 6", got, maxColdTime)
+	}
+}
+
 // Without evacuations, and with those of zones without workers, a planner makes the same
 // batches and orders as one that was never told of any.
 func TestNoEvacuationsChangeNothing(t *testing.T) {
--- a/planner/speed.go
+++ b/planner/speed.go
@@ -73,25 +73,42 @@
 	p.addEvent(Event{Kind: kind, Worker: w.state.ID, Incarnation: w.state.Incarnation, Detail: fmt.Sprintf("takes %.1f times as long as its peers, by %d samples", w.speed.slowness(), w.speed.samples)})
 }
 
-// slowWorkers returns the workers to avoid, with their slowness. If more than maxSlowShare of a
-// service's workers are slow, all of that service are used: there is no better place.
+// slowWorkers returns the workers to avoid, with their slowness, which is 1 for those that only
+// may be slow. If more than maxSlowShare of a service's workers are to be avoided, all of that
+// service are used: there is no better place.
 func (p *Planner) slowWorkers(now time.Time) map[*worker]float64 {
 	all, slow := map[string]int{}, map[string]int{}
+	out := map[*worker]float64{}
 	for _, w := range p.workers {
 		all[w.state.Service]++
-		if w.speed.isSlow(now) {
-			slow[w.state.Service]++
+		switch {
+		case w.speed.isSlow(now):
+			out[w] = w.speed.slowness()
+		case w.mayBeCold(now):
+			out[w] = 1
+		default:
+			continue
 		}
+		slow[w.state.Service]++
 	}
-	out := map[*worker]float64{}
-	for _, w := range p.workers {
-		if service := w.state.Service; w.speed.isSlow(now) && float64(slow[service]) <= maxSlowShare*float64(all[service]) {
-			out[w] = w.speed.slowness()
+	for w := range out {
+		if service := w.state.Service; float64(slow[service]) > maxSlowShare*float64(all[service]) {
+			delete(out, w)
 		}
 	}
 	return out
 }
 
+// maxColdTime is the time after which a worker whose zone was taken back is used like others, if
+// nothing runs there that shows its speed.
+const maxColdTime = 3 * time.Second
+
+// mayBeCold reports whether the worker's zone was taken back shortly before, and no samples have
+// shown since that the worker isn't slow.
+func (w *worker) mayBeCold(now time.Time) bool {
+	return !w.returnedAt.IsZero() && now.Sub(w.returnedAt) < maxColdTime && w.speed.samples < minSlowSamples
+}
+
 // sampleServing compares the slack of a serving task with the one that is predicted; the ratio is
 // one of latencies. A task from which fillers take much tells more about them.
 func (w *worker) sampleServing(now time.Time, predicted, loss, measured float64) {
--- a/planner/stragglers.go
+++ b/planner/stragglers.go
@@ -167,11 +167,11 @@
 	var out []straggler
 	for _, w := range workers {
 		slowness := p.avoided[w]
-		if w.fillerMilliCores == 0 && slowness == 0 {
+		if w.fillerMilliCores == 0 && slowness <= 1 {
 			continue
 		}
 		for _, r := range w.runs {
-			if !r.mayMove(now, slowness > 0) {
+			if !r.mayMove(now, slowness > 1) {
 				continue
 			}
 			remaining := r.remaining()
@@ -179,7 +179,7 @@
 			if !r.task.step.spec.Checkpointable {
 				s.left = remaining * 100 / time.Duration(max(1, 100-r.pace.percent))
 			}
-			if slowness > 0 {
+			if slowness > 1 {
 				s.left = time.Duration(float64(s.left) / slowness) // it was measured on the slow worker
 			}
 			if s.gain(1, p.settings.MoveTime()) >= minMoveGain {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -55,6 +55,7 @@
 	fullOrdersDue bool        // the next orders must be full
 
 	speed               workerSpeed
+	returnedAt          time.Time // when its zone was last taken back
 	consecutiveFailures int
 	quarantinedUntil    time.Time
 	leaseRenewedAt      time.Time
