--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -27,18 +27,18 @@
 
 type settings struct {
 	runner.Common
-	Node         string         `arg:"--node,env:PVALVE_NODE" help:"name of this process; must be unique within the site" validate:"required,max=100"`
-	FrontAddress netip.AddrPort `arg:"--front-address,env:PVALVE_FRONT_ADDRESS" help:"IP and port on which the API for callers is served" validate:"address"`
-	ReadyAddress netip.AddrPort `arg:"--ready-address,env:PVALVE_READY_ADDRESS" help:"IP and port on which readiness for callers is served" validate:"address"`
-	LinkAddress  netip.AddrPort `arg:"--link-address,env:PVALVE_LINK_ADDRESS" help:"IP and port on which this process accepts the link from the leader" validate:"address"`
-	StoreAddress netip.AddrPort `arg:"--store-address,env:PVALVE_STORE_ADDRESS" help:"IP and port of the platform's store" validate:"address"`
-	Cores        float64        `arg:"--cores,env:PVALVE_CORES" help:"number of processor cores that this process may use; 0 is unknown" validate:"gte=0"`
-	KeepEnded    time.Duration  `arg:"--keep-ended,env:PVALVE_KEEP_ENDED" default:"120s" help:"minimum time for which the state of an ended job stays readable" validate:"gt=0"`
-	MaxLease     time.Duration  `arg:"--max-lease,env:PVALVE_MAX_LEASE" default:"10s" help:"longest lease that workers accept; a shorter value than theirs may run tasks twice" validate:"gt=0"`
-	StopTime     time.Duration  `arg:"--stop-time,env:PVALVE_STOP_TIME" default:"400ms" help:"longest time that a worker takes to stop a run; with --restore-time it decides when the move of a slow task pays" validate:"gte=0"`
-	RestoreTime  time.Duration  `arg:"--restore-time,env:PVALVE_RESTORE_TIME" default:"100ms" help:"time that a task takes to resume from a checkpoint" validate:"gte=0"`
-	EvacuateIn   time.Duration  `arg:"--evacuate-within,env:PVALVE_EVACUATE_WITHIN" default:"0s" help:"longest time from an operator's request to evacuate a zone until no run starts there; 0 or at least 2.5s; with 0, runs start also while the requests can't be read" validate:"eq=0|gte=2500ms"`
-	Grace        time.Duration  `arg:"--grace,env:PVALVE_GRACE" default:"6s" help:"maximum time from SIGTERM to the exit of the process" validate:"gte=1s"`
+	Node           string         `arg:"--node,env:PVALVE_NODE" help:"name of this process; must be unique within the site" validate:"required,max=100"`
+	FrontAddress   netip.AddrPort `arg:"--front-address,env:PVALVE_FRONT_ADDRESS" help:"IP and port on which the API for callers is served" validate:"address"`
+	ReadyAddress   netip.AddrPort `arg:"--ready-address,env:PVALVE_READY_ADDRESS" help:"IP and port on which readiness for callers is served" validate:"address"`
+	LinkAddress    netip.AddrPort `arg:"--link-address,env:PVALVE_LINK_ADDRESS" help:"IP and port on which this process accepts the link from the leader" validate:"address"`
+	StoreAddress   netip.AddrPort `arg:"--store-address,env:PVALVE_STORE_ADDRESS" help:"IP and port of the platform's store" validate:"address"`
+	Cores          float64        `arg:"--cores,env:PVALVE_CORES" help:"number of processor cores that this process may use; 0 is unknown" validate:"gte=0"`
+	KeepEnded      time.Duration  `arg:"--keep-ended,env:PVALVE_KEEP_ENDED" default:"120s" help:"minimum time for which the state of an ended job stays readable" validate:"gt=0"`
+	MaxLease       time.Duration  `arg:"--max-lease,env:PVALVE_MAX_LEASE" default:"10s" help:"longest lease that workers accept; a shorter value than theirs may run tasks twice" validate:"gt=0"`
+	StopTime       time.Duration  `arg:"--stop-time,env:PVALVE_STOP_TIME" default:"400ms" help:"longest time that a worker takes to stop a run; with --restore-time it decides when the move of a slow task pays" validate:"gte=0"`
+	RestoreTime    time.Duration  `arg:"--restore-time,env:PVALVE_RESTORE_TIME" default:"100ms" help:"time that a task takes to resume from a checkpoint" validate:"gte=0"`
+	EvacuateWithin time.Duration  `arg:"--evacuate-within,env:PVALVE_EVACUATE_WITHIN" default:"0s" help:"longest time from an operator's request to evacuate a zone until no run starts there; 0 or at least 2.5s; with 0, runs start also while the requests can't be read" validate:"eq=0|gte=2500ms"`
+	Grace          time.Duration  `arg:"--grace,env:PVALVE_GRACE" default:"6s" help:"maximum time from SIGTERM to the exit of the process" validate:"gte=1s"`
 }
 
 // Version implements go-arg's interface Versioned; go-arg prints it for --version.
@@ -85,7 +85,7 @@
 	plannerSettings.StopTime, plannerSettings.RestoreTime = s.StopTime, s.RestoreTime
 	gw := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	directory := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, IncarnationID: incarnationID, Cores: s.Cores, Candidate: true}, gw.LeaderStatus, nil, logger)
-	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings, EvacuationBound: s.EvacuateIn}, leader.Dependencies{
+	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings, EvacuationBound: s.EvacuateWithin}, leader.Dependencies{
 		Store: store, Directory: directory, LeaderStatus: gw.LeaderStatus, Dial: messenger.DialTCP, Clock: leader.TimeSinceBoot, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfigWatcher(ctx, store, leader.TimeSinceBoot, logger, candidate)
