--- a/planner/interference.go
+++ b/planner/interference.go
@@ -188,9 +188,12 @@
 		}
 		serving := r.task.step
 		slack := float64(serving.spec.LatencyTarget.Milliseconds()) / float64(s.Measured) // Measured is in milliseconds
-		predicted, loss := p.interference.predict(serving.spec.Image, &serving.slackModel, measured.fillers)
-		w.sampleServing(now, predicted, loss, slack)
-		if !w.speed.isSlow(now) {
+		comparable := serving.runsBesides(now, w)
+		if comparable {
+			predicted, loss := p.interference.predict(serving.spec.Image, &serving.slackModel, measured.fillers)
+			w.sampleServing(now, predicted, loss, slack)
+		}
+		if !comparable || !w.speed.isSlow(now) {
 			p.interference.learn(serving.spec.Image, &serving.slackModel, slack, measured.fillers)
 		}
 	}
--- a/planner/speed.go
+++ b/planner/speed.go
@@ -109,6 +109,17 @@
 	return !w.returnedAt.IsZero() && now.Sub(w.returnedAt) < maxColdTime && w.speed.samples < minSlowSamples
 }
 
+// runsBesides reports whether a task of the step runs on another worker that isn't slow. Without
+// one nothing tells a slow worker from a rising load of the step.
+func (s *step) runsBesides(now time.Time, w *worker) bool {
+	for _, t := range s.tasks {
+		if t.run != nil && t.run.worker != w && !t.run.worker.speed.isSlow(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // sampleServing compares the slack of a serving task with the one that is predicted; the ratio is
 // one of latencies. A task from which fillers take much tells more about them.
 func (w *worker) sampleServing(now time.Time, predicted, loss, measured float64) {
--- a/planner/speed_test.go
+++ b/planner/speed_test.go
@@ -133,6 +133,29 @@
 	}
 }
 
+// The load of one step rises to eight times for good, on both of its workers, where nothing else
+// shows that they are as fast as others: they aren't avoided for long.
+func TestLoadOfOneStepRises(t *testing.T) {
+	f := &fleet{harness: newHarness(t), ids: []string{"w0", "w1", "w2", "w3", "w4"}, random: rand.New(rand.NewPCG(1, 1))}
+	f.pollEach(f.ids...)
+	for image, count := range map[string]int{"a": 2, "b": 3} {
+		step := servingStep(count, image)
+		step.Size.MilliCores = 5000 // one fits on a worker
+		f.submit(image, step)
+	}
+	f.tickAndCommit()
+	f.serve(3*time.Second, even)
+	f.serve(2*slownessMemory, func(_, image string) float64 {
+		if image == "a" {
+			return 8
+		}
+		return 1
+	})
+	if got := f.avoidedIDs(); len(got) != 0 {
+		t.Errorf("got %v avoided, want none", got)
+	}
+}
+
 // Single measurements of twice the latency, as serving tasks show every few seconds, make no
 // worker slow.
 func TestOutliersAreNoSlowWorker(t *testing.T) {
