limiter: a request whose connection is closed never runs

What callers saw: a connection closed without an answer, which our pages promise for requests that haven't run, while the job was accepted (or cancelled). A repeat under the same id was harmless; "nothing of such a request has run" was not true.

Cause: the limiter closed the connection between the read of the last byte and the handler's step to the next phase, also the connection whose own read had exceeded the budget; the bytes that had been read were passed on all the same. A handler that doesn't read its request's body (DELETE with a body) counted as still reading while it ran.

Why it works: closing and the step from reading to handling are taken under one lock. Once the connection is closed, no further byte, no head and no end of a body reach the handler; once handling has begun, the limiter doesn't close it. The body counts as being read from the first read on.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -28,21 +28,23 @@
 	held  int64     // memory counted for the request
 }
 
-// Read implements net.Conn. It counts what is read towards the budget.
+// Read implements net.Conn. It counts what is read towards the budget. It returns nothing of
+// what was read if the limiter closes the connection, since the request could be complete.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.count(int64(n), time.Now())
+	if n > 0 && !c.count(int64(n), time.Now()) {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-func (c *conn) count(bytes int64, now time.Time) {
+// count counts bytes that have been read. It reports whether the connection is still open.
+func (c *conn) count(bytes int64, now time.Time) bool {
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.conns[c] {
-		return // it has been closed
+		return false
 	}
 	switch c.phase {
 	case phaseIdle:
@@ -53,6 +55,7 @@
 	case phaseBody:
 		l.charge(c, bodyCost*bytes, now)
 	}
+	return l.conns[c]
 }
 
 // Close implements net.Conn.
@@ -63,21 +66,13 @@
 	return c.Conn.Close()
 }
 
-// begin marks the head of the connection's request as read.
-func (c *conn) begin(hasBody bool) {
+// enter sets the phase of the connection's request. It reports whether the connection is still
+// open. The limiter doesn't close it in phaseHandling.
+func (c *conn) enter(p phase) bool {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.phase = phaseHandling
-	if hasBody {
-		c.phase = phaseBody
-	}
-}
-
-// bodyRead marks the request as read.
-func (c *conn) bodyRead() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.phase = phaseHandling
+	c.phase = p
+	return c.limiter.conns[c]
 }
 
 // end marks the request as handled. What was read beyond it belongs to the next one.
@@ -96,7 +91,8 @@
 }
 
 // track returns a handler that tells the limiter how far a request is, and bounds the time for
-// reading its body.
+// reading its body. Of a request whose connection the limiter has closed, it passes on neither
+// the head nor the end of the body.
 func (l *Limiter) track(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -104,10 +100,10 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		hasBody := r.Body != nil && r.Body != http.NoBody
-		c.begin(hasBody)
-		if hasBody {
-			_ = c.SetReadDeadline(time.Now().Add(l.settings.BodyTimeout)) // fails only on a closed connection
+		if !c.enter(phaseHandling) {
+			panic(http.ErrAbortHandler) // ends the request without an answer
+		}
+		if r.Body != nil && r.Body != http.NoBody {
 			r.Body = &body{ReadCloser: r.Body, conn: c}
 		}
 		defer func() { c.end(time.Now()) }()
@@ -115,19 +111,28 @@
 	})
 }
 
-// body is the body of a request.
+// body is the body of a request. A handler that doesn't read it is handling the request, one that
+// does isn't until the body has ended.
 type body struct {
 	io.ReadCloser
-	conn *conn
-	read bool // to its end
+	conn    *conn
+	started bool // the first read has begun
+	read    bool // to its end
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if !b.started {
+		b.started = true
+		b.conn.enter(phaseBody)
+		_ = b.conn.SetReadDeadline(time.Now().Add(b.conn.limiter.settings.BodyTimeout)) // fails only on a closed connection
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.read {
+		if !b.conn.enter(phaseHandling) {
+			return 0, net.ErrClosed
+		}
 		b.read = true
-		b.conn.bodyRead()
 		_ = b.conn.SetReadDeadline(time.Time{}) // the server goes on to watch for the caller's disconnect
 	}
 	return n, err
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,7 +52,7 @@
 		c.count(headBytes, now)
 	}
 	if bodyBytes > 0 {
-		c.begin(true)
+		c.enter(phaseBody)
 		c.count(bodyBytes, now)
 	}
 	return inner, c
@@ -92,7 +94,7 @@
 	var handled []*fakeConn
 	for l.held+largestRequest <= l.settings.BudgetBytes {
 		inner, c := open(t, l, now, 16<<10, 256<<10)
-		c.bodyRead()
+		c.enter(phaseHandling)
 		handled = append(handled, inner)
 	}
 	ordinary, _ := open(t, l, now, 200, 1200)
@@ -126,7 +128,7 @@
 	l := newTestLimiter(64<<20, 4)
 	now := time.Now()
 	handled, c := open(t, l, now, 200, 0)
-	c.begin(false)
+	c.enter(phaseHandling)
 	idle, _ := open(t, l, now.Add(time.Millisecond), 0, 0)
 	stopped, _ := open(t, l, now.Add(2*time.Millisecond), 200, 0)
 	open(t, l, now.Add(3*time.Millisecond), 0, 0)
@@ -148,7 +150,7 @@
 	l := newTestLimiter(64<<20, 2)
 	for range 2 {
 		_, c := open(t, l, time.Now(), 200, 0)
-		c.begin(false)
+		c.enter(phaseHandling)
 	}
 	if _, ok := l.admit(&fakeConn{}, time.Now()); ok {
 		t.Error("got a connection admitted beyond the limit, want it refused")
@@ -188,6 +190,120 @@
 	}
 }
 
+// A request whose connection is closed by the limiter doesn't run, also if its last byte had
+// been read by then: its caller learns that it may send it again.
+func TestClosedRequestDoesNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		body    string
+		closing func(l *Limiter, c *conn) // before the handler runs, or within the body's last read
+		within  bool
+	}{
+		"head":         {closing: func(l *Limiter, c *conn) { l.closeForTest(c) }},
+		"body":         {body: "x", closing: func(l *Limiter, c *conn) { l.closeForTest(c) }, within: true},
+		"closesItself": {body: "x", closing: func(_ *Limiter, c *conn) { c.count(32<<20, time.Now()) }, within: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLimiter(64<<20, 10)
+			inner := &fakeConn{}
+			tracked, _ := l.admit(inner, time.Now())
+			tracked.count(200, time.Now()) // the head
+			r := httptest.NewRequest(http.MethodPost, "/", nil)
+			if c.body != "" {
+				r = httptest.NewRequest(http.MethodPost, "/", io.NopCloser(&closingReader{text: c.body, closing: func() { c.closing(l, tracked) }}))
+			}
+			if !c.within {
+				c.closing(l, tracked)
+			}
+			ran := false
+			handler := l.track(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, err := io.ReadAll(r.Body)
+				ran = err == nil
+			}))
+			func() {
+				defer func() {
+					if p := recover(); p != nil && p != http.ErrAbortHandler {
+						panic(p)
+					}
+				}()
+				handler.ServeHTTP(httptest.NewRecorder(), r.WithContext(withConn(r.Context(), tracked)))
+			}()
+			if !inner.closed || ran {
+				t.Errorf("got the connection closed: %t, and the request run: %t; want true and false", inner.closed, ran)
+			}
+		})
+	}
+}
+
+// closeForTest closes a connection as if another one needed its memory.
+func (l *Limiter) closeForTest(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evict(time.Now(), c, reasonBudget)
+}
+
+// closingReader returns its text and the end in one read, before which closing is called.
+type closingReader struct {
+	text    string
+	closing func()
+}
+
+func (r *closingReader) Read(p []byte) (int, error) {
+	r.closing()
+	return copy(p, r.text), io.EOF
+}
+
+// Whole requests beside a budget for few of them: the handler has run exactly those that are
+// answered.
+func TestRequestsRunOrAreClosed(t *testing.T) {
+	const callers, bodyBytes = 200, 200 << 10
+	l := New(NewSettings(1, 1000, DefaultBodyTimeout), zap.NewNop(), prometheus.NewRegistry())
+	var mu sync.Mutex
+	ran := map[string]bool{}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		mu.Lock()
+		ran[r.URL.Path] = true
+		mu.Unlock()
+	})}
+	l.Configure(server)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(l.Listener(inner)) }()
+	defer server.Close()
+	answered := map[string]bool{}
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			path := "/" + strconv.Itoa(i)
+			conn, err := net.Dial("tcp", inner.Addr().String())
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			body := bytes.Repeat([]byte(" "), bodyBytes)
+			head := "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+			_, _ = io.WriteString(conn, head)
+			_, _ = conn.Write(body)
+			if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && response.StatusCode == http.StatusOK {
+				mu.Lock()
+				answered[path] = true
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d of %d requests answered", len(answered), callers)
+	for path := range ran {
+		if !answered[path] {
+			t.Errorf("got request %s run without an answer, want it either not run or answered", path)
+		}
+	}
+}
+
 // BenchmarkOrdinaryRequest measures what the limiter adds to a request of 1,200 bytes.
 func BenchmarkOrdinaryRequest(b *testing.B) {
 	body := bytes.Repeat([]byte(" "), 1200)
