platform, supervisor: check-ins take a bounded part of a supervisor's memory

Cause: a check-in was acknowledged once it was queued for the event loop, up to 1,024 of them with labels of any length, which no budget counted any more.

TestHeartbeatsWaitForTheirHandling and two cases of TestOddHeartbeats fail without the fix.

Why it works: a check-in is acknowledged when it has been handled, so that it counts as a request in progress until then.

--- a/supervisor/heartbeat.go
+++ b/supervisor/heartbeat.go
@@ -29,9 +29,10 @@
 	last  int64
 }
 
-// Heartbeat handles a heartbeat of the worker. Late ones are ignored.
+// Heartbeat handles a heartbeat of the worker. Late ones are ignored. It returns once the
+// heartbeat is handled, so that those that wait count as requests in progress.
 func (v *Supervisor) Heartbeat(s pv.WorkerState) {
-	v.eventLoop.Post(func() { v.handleHeartbeat(time.Now(), s) })
+	v.eventLoop.Do(func() { v.handleHeartbeat(time.Now(), s) })
 }
 
 func (v *Supervisor) handleHeartbeat(now time.Time, s pv.WorkerState) {
--- a/supervisor/heartbeat_odd_test.go
+++ b/supervisor/heartbeat_odd_test.go
@@ -1,7 +1,9 @@
 package supervisor
 
 import (
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	pv "persimmonvalve"
@@ -58,3 +60,40 @@
 		}
 	})
 }
+
+// Heartbeats that wait for the event loop are requests in progress, whose number and size the
+// server bounds. Queued beside it, a thousand of the largest took all memory of a process.
+func TestHeartbeatsWaitForTheirHandling(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		release := make(chan struct{})
+		h.supervisor.eventLoop.Post(func() { <-release })
+		var mu sync.Mutex
+		handled := 0
+		for _, call := range []func(){
+			func() { h.supervisor.Heartbeat(heartbeat(1, 1, false)) },
+			func() { h.supervisor.Deregister(pv.Deregistration{Worker: "w", Incarnation: 1}) },
+		} {
+			go func() {
+				call()
+				mu.Lock()
+				defer mu.Unlock()
+				handled++
+			}()
+		}
+		synctest.Wait()
+		mu.Lock()
+		if handled != 0 {
+			t.Errorf("got %d messages acknowledged before they were handled, want 0", handled)
+		}
+		mu.Unlock()
+		close(release)
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		if handled != 2 {
+			t.Errorf("got %d messages acknowledged, want 2", handled)
+		}
+	})
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -180,9 +180,9 @@
 }
 
 // Deregister handles a deregistration of the worker. A late one of a former incarnation
-// under the same id is ignored.
+// under the same id is ignored. It returns once the deregistration is handled.
 func (v *Supervisor) Deregister(d pv.Deregistration) {
-	v.eventLoop.Post(func() {
+	v.eventLoop.Do(func() {
 		if v.state.ID != d.Worker || v.deregistered {
 			return
 		}
