limiter: as many connections as the process's memory has room for

What callers saw: nothing yet. 2,048 connections that had sent one request and stayed open took 118 MB of a gateway's 184, beside the budget for requests.

Cause: an open connection takes some 32 KiB with its buffers and its goroutine, and the default of 2,048 connections was the same on every machine: the connections alone exceed a machine of 64 MB.

A value that is set is used as it is.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -23,14 +23,17 @@
 // Limits that no caller meets which stays inside the platform's limits: 16 KiB of headers and
 // bodies of 256 KiB.
 const (
-	DefaultMaxConnections = 2048
+	DefaultMaxConnections = 2048             // of a process that has the memory for them
 	DefaultBodyTimeout    = 10 * time.Second // 26 KB/s for the largest body; a link of 10 Mbit/s carries it in 0.2 s
 	maxHeaderBytes        = 32 << 10
 	headerTimeout         = 5 * time.Second
 	defaultMemoryBytes    = 256 << 20
-	budgetShare           = 4 // the process's memory divided by the budget
+	budgetShare           = 4        // the process's memory divided by the budget
+	connectionShare       = 4        // the process's memory divided by that of connections
+	connectionBytes       = 32 << 10 // of an open connection: its buffers and its goroutine
 	// minBudgetBytes is the budget for several requests of the largest size.
 	minBudgetBytes = 4 << 20
+	minConnections = 16
 )
 
 // Memory that one byte of a request takes until it is handled. A head of many short lines takes
@@ -41,18 +44,20 @@
 )
 
 // NewSettings returns the limits of a process that may use the given memory in bytes, 0 if it
-// isn't known, and so many connections.
+// isn't known, and so many connections, 0 for as many as its memory has room for.
 func NewSettings(memoryBytes int64, maxConnections int, bodyTimeout time.Duration) Settings {
+	memoryBytes = cmp.Or(memoryBytes, defaultMemoryBytes)
+	room := max(minConnections, memoryBytes/connectionShare/connectionBytes)
 	return Settings{
-		BudgetBytes:    max(minBudgetBytes, cmp.Or(memoryBytes, defaultMemoryBytes)/budgetShare),
-		MaxConnections: maxConnections,
+		BudgetBytes:    max(minBudgetBytes, memoryBytes/budgetShare),
+		MaxConnections: cmp.Or(maxConnections, int(min(DefaultMaxConnections, room))),
 		MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout,
 	}
 }
 
 // DefaultSettings returns the limits of a process without settings of its own.
 func DefaultSettings() Settings {
-	return NewSettings(defaultMemoryBytes, DefaultMaxConnections, DefaultBodyTimeout)
+	return NewSettings(defaultMemoryBytes, 0, DefaultBodyTimeout)
 }
 
 // Limiter bounds what the connections of one process hold. It is safe for concurrent use.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -190,6 +190,18 @@
 	}
 }
 
+// Connections take a quarter of the memory by default, and never more than the greatest default.
+func TestDefaultConnections(t *testing.T) {
+	for memoryMB, want := range map[int64]int{0: 2048, 1: minConnections, 64: 512, 152: 1216, 184: 1472, 536: 2048} {
+		if got := NewSettings(memoryMB<<20, 0, DefaultBodyTimeout).MaxConnections; got != want {
+			t.Errorf("%d MB: got %d connections, want %d", memoryMB, got, want)
+		}
+	}
+	if got := NewSettings(64<<20, 5000, DefaultBodyTimeout).MaxConnections; got != 5000 {
+		t.Errorf("got %d connections, want the 5000 that were set", got)
+	}
+}
+
 // A request whose connection is closed by the limiter doesn't run, also if its last byte had
 // been read by then: its caller learns that it may send it again.
 func TestClosedRequestDoesNotRun(t *testing.T) {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -35,7 +35,7 @@
 	MemoryMB     int64          `arg:"--memory-mb,env:PVALVE_MEMORY_MB" default:"0" help:"memory that this process may use, in MiB; a quarter of it holds requests that aren't handled yet; 0 is unknown and counts as 256" validate:"gte=0,lte=1048576"`
 	// MaxConnections is below the limit of the process's descriptors, of which the store, links
 	// and calls to other processes need some.
-	MaxConnections int           `arg:"--max-connections,env:PVALVE_MAX_CONNECTIONS" default:"2048" help:"connections that the servers of this process hold at once; beyond it the one that is least useful is closed" validate:"gte=16"`
+	MaxConnections int           `arg:"--max-connections,env:PVALVE_MAX_CONNECTIONS" default:"0" help:"connections that the servers of this process hold at once; beyond it the one that is least useful is closed; 0 is as many as a quarter of its memory has room for, 32 KiB each, at most 2048" validate:"eq=0|gte=16"`
 	BodyTimeout    time.Duration `arg:"--body-timeout,env:PVALVE_BODY_TIMEOUT" default:"10s" help:"time for a caller to send the body of a request" validate:"gt=0"`
 }
 
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -18,11 +18,11 @@
 func TestAllFaultsReportedAtOnce(t *testing.T) {
 	var s sample
 	var out, errOut bytes.Buffer
-	code, ok := Parse("sample", &s, []string{"--log-level", "loud", "--homes", "0", "--log-url", "nowhere"}, &out, &errOut)
+	code, ok := Parse("sample", &s, []string{"--log-level", "loud", "--homes", "0", "--log-url", "nowhere", "--max-connections", "15"}, &out, &errOut)
 	if ok || code != ExitUsage {
 		t.Fatalf("got ok=%v code %d, want false and %d", ok, code, ExitUsage)
 	}
-	for _, field := range []string{"LogLevel", "Homes", "LogURL", "FleetURL", "Name", "Zone"} {
+	for _, field := range []string{"LogLevel", "Homes", "LogURL", "FleetURL", "Name", "Zone", "MaxConnections"} {
 		if !strings.Contains(errOut.String(), field) {
 			t.Errorf("field %s missing from the error output %q", field, errOut.String())
 		}
