leader, gateway: a crowd's questions share few calls to the store

What callers saw: with 2,048 allowed connections a gateway had 3,159 descriptors, near the 3,900 of its machine, and each request for an unknown job was a call to the store, whose rate is limited for all processes together.

Cause: the descriptors beyond the allowed connections are connections to the store. Each question about a job that the leader doesn't know read the inbox by itself, each cancellation of such a job and each submission that the leader didn't answer in time wrote it by itself, all at once.

Evidence: the sockets of the process, counted by peer during the crowd: up to 1,291 to the store.

Why it works: questions that come while four reads are in progress share the next one. That read begins after they came, so each still sees all that was written before it. Cancellations share writes in the same way.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,8 +40,11 @@
 	// replyTimeout is the wait for a leader's reply before a submission or cancellation
 	// is also written to the inbox: two batches of a slow store, which takes 250 ms
 	// for each.
-	replyTimeout          = 700 * time.Millisecond
-	inboxTimeout          = 500 * time.Millisecond // for the store's answer to an inbox write; the outcome is then unknown
+	replyTimeout = 700 * time.Millisecond
+	inboxTimeout = 500 * time.Millisecond // for the store's answer to an inbox write; the outcome is then unknown
+	// maxInboxWrites bounds the writes to the inbox at a time, each of which has a connection to
+	// the store.
+	maxInboxWrites        = 16
 	probeInterval         = 500 * time.Millisecond // from an inbox write without an answer to the next probe of the store
 	answerValidity        = 200 * time.Millisecond // of an answer of the store: the next write needs no probe
 	questionRetryInterval = 50 * time.Millisecond  // between repeats of a question that is undecided
@@ -93,6 +96,7 @@
 	callSeconds        *prometheus.HistogramVec
 	callResults        *prometheus.CounterVec
 	inboxWrites        prometheus.Counter
+	inboxSlots         chan struct{} // holds one element for each write in progress
 
 	mu               sync.Mutex
 	breakerOpenUntil time.Time     // circuit breaker of inbox writes; zero while it is closed
@@ -105,7 +109,7 @@
 // New starts a gateway; Close ends it.
 func New(node string, d Dependencies) *Gateway {
 	g := &Gateway{
-		store: d.Store, logger: d.Logger, leaderChanged: make(chan struct{}), pendingReplies: map[int64]chan *wire.Reply{},
+		store: d.Store, logger: d.Logger, leaderChanged: make(chan struct{}), inboxSlots: make(chan struct{}, maxInboxWrites), pendingReplies: map[int64]chan *wire.Reply{},
 		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "pvalve", Name: "gateway_call_seconds", Help: "Duration of calls, in seconds, by kind.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 12)}, []string{"call"}),
 		callResults: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "pvalve", Name: "gateway_calls_total", Help: "Calls, by kind and result."}, []string{"call", "result"}),
 	}
--- a/gateway/inbox.go
+++ b/gateway/inbox.go
@@ -32,6 +32,13 @@
 	if !sent && !g.storeAnswers(ctx) {
 		return Answer{Result: StoreStalled} // nothing was sent or written
 	}
+	if !g.acquireInboxSlot(ctx) {
+		if sent {
+			return Answer{Result: OutcomeUnknown}
+		}
+		return Answer{Result: StoreStalled}
+	}
+	defer func() { <-g.inboxSlots }()
 	timed, cancel := context.WithTimeout(ctx, inboxTimeout)
 	defer cancel()
 	verdict, _, err := g.store.Append(timed, leader.InboxTopic, pv.Writer{}, pv.AtAnyOffset, []pv.KeyedRecord{record})
@@ -49,6 +56,25 @@
 	return Answer{Result: OutcomeUnknown}
 }
 
+// acquireInboxSlot waits for one of the maxInboxWrites, at most for inboxTimeout. It reports false
+// if there is none.
+func (g *Gateway) acquireInboxSlot(ctx context.Context) bool {
+	select {
+	case g.inboxSlots <- struct{}{}:
+		return true
+	default:
+	}
+	timer := time.NewTimer(inboxTimeout)
+	defer timer.Stop()
+	select {
+	case g.inboxSlots <- struct{}{}:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // storeProbe is a probe of the store in progress.
 type storeProbe struct {
 	done     chan struct{} // closed when the probe has ended
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -151,14 +151,36 @@
 		return
 	}
 	t.planner.CancelAhead(now, id)
+	t.cancellationWrites.add(cancellationWrite{record, stored})
+}
+
+// cancellationWrite is the record of a cancellation, and what to call once it is stored.
+type cancellationWrite struct {
+	record pv.KeyedRecord
+	stored func()
+}
+
+// writeCancellations writes several cancellations to the inbox.
+func (t *term) writeCancellations(writes []cancellationWrite) {
+	records := make([]pv.KeyedRecord, 0, len(writes))
+	for _, w := range writes {
+		records = append(records, w.record)
+	}
 	go func() {
 		callCtx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
 		defer cancel()
-		if err := t.leader.deps.Store.Put(callCtx, InboxTopic, []pv.KeyedRecord{record}); err != nil {
-			t.logger.Warn("leader: writing a cancellation to the inbox failed", zap.String("job", string(id)), zap.Int64("epoch", t.epoch), logfield.Error(err))
-			return
+		err := t.leader.deps.Store.Put(callCtx, InboxTopic, records)
+		if err != nil {
+			t.logger.Warn("leader: writing cancellations to the inbox failed", zap.Int("records", len(records)), zap.Int64("epoch", t.epoch), logfield.Error(err))
 		}
-		t.post(func(time.Time) { stored() })
+		t.post(func(time.Time) {
+			for _, w := range writes {
+				if err == nil {
+					w.stored()
+				}
+			}
+			t.cancellationWrites.done()
+		})
 	}()
 }
 
@@ -216,7 +238,10 @@
 // answerAfterBarrierRead calls answer after it has read what is new in the inbox and
 // committed a batch. It is for questions about jobs that the planner doesn't have: the job may
 // be in the inbox, or a newer leader may have accepted it, and then the commit fails.
-func (t *term) answerAfterBarrierRead(answer func()) {
+func (t *term) answerAfterBarrierRead(answer func()) { t.barrierReads.add(answer) }
+
+// readForBarrier reads what is new in the inbox for several answers.
+func (t *term) readForBarrier(answers []func()) {
 	ctx, from := t.ctx, t.inboxEnd
 	go func() {
 		records, err := readSince(ctx, t.leader.deps.Store, InboxTopic, from)
@@ -225,7 +250,8 @@
 		}
 		t.post(func(now time.Time) {
 			t.applyInbox(ctx, now, records) // followInbox reads the same records, and notes the read
-			t.afterCommit = append(t.afterCommit, answer)
+			t.afterCommit = append(t.afterCommit, answers...)
+			t.barrierReads.done()
 		})
 	}()
 }
--- a/leader/term.go
+++ b/leader/term.go
@@ -48,9 +48,11 @@
 	confirmedAt time.Duration    // Dependencies.Clock at the start of the last confirmed append
 	evacuations evacuationsRead
 
-	inboxEnd             pv.Offset            // before which all records of the inbox have been applied; 0 before the first read
-	inboxReadStartedAt   time.Duration        // Dependencies.Clock at the start of the last read of the inbox whose cancellations are stored
-	uncommittedInboxRead *time.Duration       // start of the last read that counts with the next commit of a cancellation; nil if none waits
+	inboxEnd             pv.Offset      // before which all records of the inbox have been applied; 0 before the first read
+	inboxReadStartedAt   time.Duration  // Dependencies.Clock at the start of the last read of the inbox whose cancellations are stored
+	uncommittedInboxRead *time.Duration // start of the last read that counts with the next commit of a cancellation; nil if none waits
+	barrierReads         coalescer[func()]
+	cancellationWrites   coalescer[cancellationWrite]
 	keptCancellations    map[string]time.Time // keys of the inbox's cancellations of unknown jobs, with the time since when they are kept
 
 	committing      bool
@@ -91,6 +93,7 @@
 	t.planner.SetQueues(queues)
 	t.applyEvacuations(now, evacuations)
 	t.peers, t.keptCancellations = map[string]*peer{}, map[string]time.Time{}
+	t.barrierReads.start, t.cancellationWrites.start = t.readForBarrier, t.writeCancellations
 	t.inboxReadStartedAt = t.leader.deps.Clock() - maxInboxAge // the inbox hasn't been read yet
 	t.commitStartedAt = now
 	t.batches = make(chan *batch, 1)
