limiter: callers that read nothing, or wait, keep no newcomer out

What callers saw: their connections were closed at once, again and again, while all connections of a process had an answer that nobody read or a request that waited. Nothing ended such a connection.

Cause: a write to a caller had no time limit, and a connection counted as in use while its answer was blocked; a request in progress never gave its place to a newcomer.

At the limit of connections, a newcomer takes the place of an answer that hasn't been taken for a second, or of a GET that has been in progress for a second if none is idle or incomplete.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -23,9 +23,11 @@
 	net.Conn
 	limiter *Limiter
 
-	phase phase
-	since time.Time // when the request began, or the connection became idle
-	held  int64     // memory counted for the request
+	phase        phase
+	since        time.Time // when the request began, or the connection became idle
+	held         int64     // memory counted for the request
+	safe         bool      // the request changes nothing
+	writingSince time.Time // when the present write began; zero if there is none
 }
 
 // Read implements net.Conn. It counts what is read towards the budget. It returns nothing of
@@ -58,6 +60,37 @@
 	return l.conns[c]
 }
 
+// maxWriteBytes is how much the caller has to take within the answer timeout.
+const maxWriteBytes = 16 << 10
+
+// Write implements net.Conn. It fails if the caller doesn't take what is written in time.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.writePart(p[written:min(len(p), written+maxWriteBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) writePart(p []byte) (int, error) {
+	now := time.Now()
+	c.setWriting(now)
+	defer c.setWriting(time.Time{})
+	if err := c.SetWriteDeadline(now.Add(c.limiter.settings.AnswerTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) setWriting(since time.Time) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.writingSince = since
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.limiter.mu.Lock()
@@ -66,8 +99,17 @@
 	return c.Conn.Close()
 }
 
-// enter sets the phase of the connection's request. It reports whether the connection is still
-// open. The limiter doesn't close it in phaseHandling.
+// begin marks the head of the request as read. It reports whether the connection is still open.
+func (c *conn) begin(safe bool) bool {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.phase, c.safe = phaseHandling, safe
+	return c.limiter.conns[c]
+}
+
+// enter sets the phase of the request. It reports whether the connection is still open. In
+// phaseHandling, the limiter closes it only for a newcomer, and only while its answer isn't taken
+// or if the request is safe.
 func (c *conn) enter(p phase) bool {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
@@ -100,7 +142,7 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		if !c.enter(phaseHandling) {
+		if !c.begin(r.Method == http.MethodGet || r.Method == http.MethodHead) {
 			panic(http.ErrAbortHandler) // ends the request without an answer
 		}
 		if r.Body != nil && r.Body != http.NoBody {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -18,6 +18,7 @@
 	MaxHeaderBytes int           // of the head of one request
 	HeaderTimeout  time.Duration // for reading the head of a request
 	BodyTimeout    time.Duration // for reading the body of a request, from its first read
+	AnswerTimeout  time.Duration // for the caller to take maxWriteBytes of an answer
 }
 
 // Limits that no caller meets which stays inside the platform's limits: 16 KiB of headers and
@@ -25,6 +26,7 @@
 const (
 	DefaultMaxConnections = 2048             // of a process that has the memory for them
 	DefaultBodyTimeout    = 10 * time.Second // 26 KB/s for the largest body; a link of 10 Mbit/s carries it in 0.2 s
+	DefaultAnswerTimeout  = 10 * time.Second // 1.6 KB/s
 	maxHeaderBytes        = 32 << 10
 	headerTimeout         = 5 * time.Second
 	defaultMemoryBytes    = 256 << 20
@@ -51,7 +53,7 @@
 	return Settings{
 		BudgetBytes:    max(minBudgetBytes, memoryBytes/budgetShare),
 		MaxConnections: cmp.Or(maxConnections, int(min(DefaultMaxConnections, room))),
-		MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout,
+		MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout, AnswerTimeout: DefaultAnswerTimeout,
 	}
 }
 
@@ -94,8 +96,10 @@
 // The reasons for which a connection is closed, also values of the label "reason".
 const (
 	reasonBudget      = "budget"
-	reasonConnections = "connections"
-	reasonNewcomer    = "newcomer" // every other connection has a request in progress
+	reasonConnections = "connections" // idle or incomplete
+	reasonUnread      = "unread"      // its caller doesn't take the answer; the request may have run
+	reasonSafe        = "safe"        // its request has been in progress for a while and changes nothing
+	reasonNewcomer    = "newcomer"    // every other connection has a request in progress that may change something
 )
 
 // Configure sets the limits of a server and lets it tell the limiter about its connections. The
@@ -128,49 +132,79 @@
 	}
 }
 
-// admit registers a connection. At the limit it closes another one for it, or refuses it if all
-// others have a request in progress.
+// admit registers a connection. At the limit it closes another one for it, or refuses it if there
+// is none to close.
 func (l *Limiter) admit(inner net.Conn, now time.Time) (*conn, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.conns) >= l.settings.MaxConnections {
-		victim := l.leastUseful(now)
+		victim, reason := l.leastUseful(now)
 		if victim == nil {
-			l.countClosed(now, reasonNewcomer)
+			l.countClosed(now, reason)
 			return nil, false
 		}
-		l.evict(now, victim, reasonConnections)
+		l.evict(now, victim, reason)
 	}
 	c := &conn{Conn: inner, limiter: l, since: now}
 	l.conns[c] = true
 	return c, true
 }
 
-// leastUseful returns the connection to close when there are too many: of those whose request
-// has been incomplete for a while the oldest, else the one that has been idle for the longest
-// time. It returns nil if all have a request in progress.
-func (l *Limiter) leastUseful(now time.Time) *conn {
-	var incomplete, idle *conn
+// leastUseful returns the connection to close when there are too many, and the reason: the oldest
+// of those whose request has been incomplete, or whose answer hasn't been taken, for a while; else
+// the one that has been idle for the longest time; else the oldest incomplete request; else the
+// oldest safe request that has been in progress for a while. It returns nil if all others have a
+// request in progress that may change something.
+func (l *Limiter) leastUseful(now time.Time) (victim *conn, reason string) {
+	var incomplete, unread, idle, safe *conn
 	for c := range l.conns {
 		switch {
-		case c.phase == phaseHandling:
+		case !c.writingSince.IsZero():
+			unread = older(unread, c)
 		case c.phase == phaseIdle:
-			if idle == nil || c.since.Before(idle.since) {
-				idle = c
-			}
-		case incomplete == nil || c.since.Before(incomplete.since):
-			incomplete = c
+			idle = older(idle, c)
+		case c.phase != phaseHandling:
+			incomplete = older(incomplete, c)
+		case c.safe:
+			safe = older(safe, c)
 		}
 	}
-	if incomplete != nil && (idle == nil || now.Sub(incomplete.since) >= incompleteGrace) {
-		return incomplete
+	lasts := func(c *conn) bool { return c != nil && now.Sub(c.stalledSince()) >= stalledGrace }
+	switch {
+	case lasts(incomplete):
+		return incomplete, reasonConnections
+	case lasts(unread):
+		return unread, reasonUnread
+	case idle != nil:
+		return idle, reasonConnections
+	case incomplete != nil:
+		return incomplete, reasonConnections
+	case lasts(safe):
+		return safe, reasonSafe
+	}
+	return nil, reasonNewcomer
+}
+
+// older returns the connection that has been in its state for longer; a may be nil.
+func older(a, b *conn) *conn {
+	if a == nil || b.stalledSince().Before(a.stalledSince()) {
+		return b
+	}
+	return a
+}
+
+// stalledSince returns when the present write began, else when the request began or the
+// connection became idle.
+func (c *conn) stalledSince() time.Time {
+	if !c.writingSince.IsZero() {
+		return c.writingSince
 	}
-	return idle
+	return c.since
 }
 
-// incompleteGrace is how long a request may be incomplete before its connection is closed in
-// place of an idle one.
-const incompleteGrace = time.Second
+// stalledGrace is how long a request may be incomplete, or its answer untaken, before its connection
+// is closed in place of an idle one, and how long a safe request has before it gives its place up.
+const stalledGrace = time.Second
 
 // charge counts more memory for a connection's request. While the budget is short it closes the
 // connections that have held the most for the longest.
@@ -206,7 +240,8 @@
 // requests that have just begun.
 const minHoldTime = 100 * time.Millisecond
 
-// evict closes a connection. Its read then fails, and nothing of its request has run.
+// evict closes a connection, whose reads and writes then fail. Unless the reason is reasonUnread,
+// nothing of its request has run or changes anything.
 func (l *Limiter) evict(now time.Time, c *conn, reason string) {
 	l.forget(c)
 	_ = c.Conn.Close()
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -94,7 +94,7 @@
 	var handled []*fakeConn
 	for l.held+largestRequest <= l.settings.BudgetBytes {
 		inner, c := open(t, l, now, 16<<10, 256<<10)
-		c.enter(phaseHandling)
+		c.begin(false)
 		handled = append(handled, inner)
 	}
 	ordinary, _ := open(t, l, now, 200, 1200)
@@ -128,7 +128,7 @@
 	l := newTestLimiter(64<<20, 4)
 	now := time.Now()
 	handled, c := open(t, l, now, 200, 0)
-	c.enter(phaseHandling)
+	c.begin(false)
 	idle, _ := open(t, l, now.Add(time.Millisecond), 0, 0)
 	stopped, _ := open(t, l, now.Add(2*time.Millisecond), 200, 0)
 	open(t, l, now.Add(3*time.Millisecond), 0, 0)
@@ -136,7 +136,7 @@
 	if !idle.closed || stopped.closed {
 		t.Errorf("got the oldest idle connection closed: %t, a request that has just begun: %t; want true and false", idle.closed, stopped.closed)
 	}
-	open(t, l, now.Add(2*incompleteGrace), 0, 0)
+	open(t, l, now.Add(2*stalledGrace), 0, 0)
 	if !stopped.closed || handled.closed {
 		t.Errorf("got an incomplete request closed: %t, a handled one: %t; want true and false", stopped.closed, handled.closed)
 	}
@@ -150,7 +150,7 @@
 	l := newTestLimiter(64<<20, 2)
 	for range 2 {
 		_, c := open(t, l, time.Now(), 200, 0)
-		c.enter(phaseHandling)
+		c.begin(false)
 	}
 	if _, ok := l.admit(&fakeConn{}, time.Now()); ok {
 		t.Error("got a connection admitted beyond the limit, want it refused")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -61,7 +61,9 @@
 	if memoryBytes > 0 {
 		debug.SetMemoryLimit(int64(garbageShare * float64(memoryBytes)))
 	}
-	return limiter.New(limiter.NewSettings(memoryBytes, c.MaxConnections, c.BodyTimeout), logger, r)
+	settings := limiter.NewSettings(memoryBytes, c.MaxConnections, c.BodyTimeout)
+	settings.AnswerTimeout = c.AnswerTimeout
+	return limiter.New(settings, logger, r)
 }
 
 // HTTPServer is an HTTP server with a graceful stop.
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -37,6 +37,7 @@
 	// and calls to other processes need some.
 	MaxConnections int           `arg:"--max-connections,env:PVALVE_MAX_CONNECTIONS" default:"0" help:"connections that the servers of this process hold at once; beyond it the one that is least useful is closed; 0 is as many as a quarter of its memory has room for, 32 KiB each, at most 2048" validate:"eq=0|gte=16"`
 	BodyTimeout    time.Duration `arg:"--body-timeout,env:PVALVE_BODY_TIMEOUT" default:"10s" help:"time for a caller to send the body of a request" validate:"gt=0"`
+	AnswerTimeout  time.Duration `arg:"--answer-timeout,env:PVALVE_ANSWER_TIMEOUT" default:"10s" help:"time for a caller to take 16 KiB of an answer" validate:"gt=0"`
 }
 
 // Process are the settings that identify a process and its location.
