limiter: callers that send request after request don't displace newcomers

What callers saw: a connection that was reset before its first request was read, again and again, beside callers that send one request after the other and come back at once when they are closed.

Cause: at the limit of connections, the one that had been idle for the longest time gave its place up. Busy callers are idle for microseconds, so it was the newcomer whose request was on its way.

Evidence: TestNewcomerBesideBusyCallers fails on the sources before.

Why it works: a connection without a request yet counts as an incomplete request: after a second it is the first to be closed, before that it keeps its place as long as there is one that is idle after a request.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -26,6 +26,7 @@
 	phase        phase
 	since        time.Time // when the request began, or the connection became idle
 	held         int64     // memory counted for the request
+	used         bool      // a request has been handled
 	safe         bool      // the request changes nothing
 	writingSince time.Time // when the present write began; zero if there is none
 }
@@ -103,7 +104,7 @@
 func (c *conn) begin(safe bool) bool {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.phase, c.safe = phaseHandling, safe
+	c.phase, c.safe, c.used = phaseHandling, safe, true
 	return c.limiter.conns[c]
 }
 
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -152,16 +152,17 @@
 
 // leastUseful returns the connection to close when there are too many, and the reason: the oldest
 // of those whose request has been incomplete, or whose answer hasn't been taken, for a while; else
-// the one that has been idle for the longest time; else the oldest incomplete request; else the
-// oldest safe request that has been in progress for a while. It returns nil if all others have a
-// request in progress that may change something.
+// the one that has been idle for the longest time since its last request; else the oldest
+// incomplete request, which may not have begun; else the oldest safe request that has been in
+// progress for a while. It returns nil if all others have a request in progress that may change
+// something.
 func (l *Limiter) leastUseful(now time.Time) (victim *conn, reason string) {
 	var incomplete, unread, idle, safe *conn
 	for c := range l.conns {
 		switch {
 		case !c.writingSince.IsZero():
 			unread = older(unread, c)
-		case c.phase == phaseIdle:
+		case c.phase == phaseIdle && c.used:
 			idle = older(idle, c)
 		case c.phase != phaseHandling:
 			incomplete = older(incomplete, c)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -145,6 +145,25 @@
 	}
 }
 
+// Callers that send one request after the other fill the limit: a newcomer whose first request is
+// still on its way doesn't give its place up to the next newcomer.
+func TestNewcomerBesideBusyCallers(t *testing.T) {
+	l := newTestLimiter(64<<20, 3)
+	now := time.Now()
+	newcomer, _ := open(t, l, now, 0, 0)
+	var busy []*fakeConn
+	for i := range 2 {
+		inner, c := open(t, l, now, 200, 0)
+		c.begin(false)
+		c.end(now.Add(time.Duration(i+1) * time.Millisecond))
+		busy = append(busy, inner)
+	}
+	open(t, l, now.Add(10*time.Millisecond), 0, 0)
+	if newcomer.closed || !busy[0].closed || busy[1].closed {
+		t.Errorf("got the newcomer closed: %t, the caller that has been idle for longer: %t, the other: %t; want false, true and false", newcomer.closed, busy[0].closed, busy[1].closed)
+	}
+}
+
 // If all connections have a request in progress, a newcomer is refused.
 func TestAllConnectionsHandled(t *testing.T) {
 	l := newTestLimiter(64<<20, 2)
