runner: a process that isn't told its memory bounds its garbage, too

Cause: the budget for requests was that of 256 MB, but the garbage collector got no limit.

Evidence: TestGarbageOfUnknownMemory fails on the sources before.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -29,10 +29,10 @@
 	DefaultAnswerTimeout  = 10 * time.Second // 1.6 KB/s
 	maxHeaderBytes        = 32 << 10
 	headerTimeout         = 5 * time.Second
-	defaultMemoryBytes    = 256 << 20
-	budgetShare           = 4        // the process's memory divided by the budget
-	connectionShare       = 4        // the process's memory divided by that of connections
-	connectionBytes       = 32 << 10 // of an open connection: its buffers and its goroutine
+	DefaultMemoryBytes    = 256 << 20 // of a process whose memory isn't known
+	budgetShare           = 4         // the process's memory divided by the budget
+	connectionShare       = 4         // the process's memory divided by that of connections
+	connectionBytes       = 32 << 10  // of an open connection: its buffers and its goroutine
 	// minBudgetBytes is the budget for several requests of the largest size.
 	minBudgetBytes = 4 << 20
 	minConnections = 16
@@ -48,7 +48,7 @@
 // NewSettings returns the limits of a process that may use the given memory in bytes, 0 if it
 // isn't known, and so many connections, 0 for as many as its memory has room for.
 func NewSettings(memoryBytes int64, maxConnections int, bodyTimeout time.Duration) Settings {
-	memoryBytes = cmp.Or(memoryBytes, defaultMemoryBytes)
+	memoryBytes = cmp.Or(memoryBytes, DefaultMemoryBytes)
 	room := max(minConnections, memoryBytes/connectionShare/connectionBytes)
 	return Settings{
 		BudgetBytes:    max(minBudgetBytes, memoryBytes/budgetShare),
@@ -59,7 +59,7 @@
 
 // DefaultSettings returns the limits of a process without settings of its own.
 func DefaultSettings() Settings {
-	return NewSettings(defaultMemoryBytes, 0, DefaultBodyTimeout)
+	return NewSettings(DefaultMemoryBytes, 0, DefaultBodyTimeout)
 }
 
 // Limiter bounds what the connections of one process hold. It is safe for concurrent use.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -3,6 +3,7 @@
 // This file defines the logger, the HTTP servers and the handling of signals.
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -54,13 +55,15 @@
 // harder. The limits of limiter keep what is in use below it.
 const garbageShare = 0.7
 
+// MemoryBytes returns the memory in bytes that the process may use, or what counts if it isn't
+// known.
+func MemoryBytes(c Common) int64 { return cmp.Or(c.MemoryMB<<20, limiter.DefaultMemoryBytes) }
+
 // NewLimiter returns the limits of the process's servers by its settings, and bounds the memory
 // that garbage takes.
 func NewLimiter(c Common, logger *zap.Logger, r *prometheus.Registry) *limiter.Limiter {
-	memoryBytes := c.MemoryMB << 20
-	if memoryBytes > 0 {
-		debug.SetMemoryLimit(int64(garbageShare * float64(memoryBytes)))
-	}
+	memoryBytes := MemoryBytes(c)
+	debug.SetMemoryLimit(int64(garbageShare * float64(memoryBytes)))
 	settings := limiter.NewSettings(memoryBytes, c.MaxConnections, c.BodyTimeout)
 	settings.AnswerTimeout = c.AnswerTimeout
 	return limiter.New(settings, logger, r)
