leader, gateway: jobs that can't be kept in memory are refused

What callers saw: a leader that accepted sound jobs until its memory ended: 300 callers without pause took 2.3 to 4.1 GB of a machine of 64 MB with jobs of 10,000 tasks, and 0.6 to 1.7 GB with jobs of 64 steps. After the loss of a leader its successor took 66 to 98 MB.

Cause: nothing bounded the jobs that a leader keeps. A job of 60 bytes of JSON can take 2 MB, since each task has a state. While a leader was missing or slow, gateways wrote all jobs to the inbox, which the next leader has to accept.

Why it works: the memory of a job is estimated by its encoding, steps and tasks. A gateway writes jobs of 4 MB to the inbox at once and 256 KB a second more, and refuses others that no leader has seen.

--- a/cmd/pvalve-gateway/main.go
+++ b/cmd/pvalve-gateway/main.go
@@ -50,6 +50,9 @@
 	drainShare  = 0.4 // new calls are still answered; each answer closes its connection
 	finishShare = 0.3 // calls in progress are finished
 
+	// jobMemoryShare is the memory of the process divided by that of the jobs that a leader keeps.
+	jobMemoryShare = 4
+
 	// retentionMargin is added to --keep-ended, which is a minimum, to get the time after
 	// which the planner removes an ended job.
 	retentionMargin = 15 * time.Second
@@ -85,7 +88,7 @@
 	plannerSettings.StopTime, plannerSettings.RestoreTime = s.StopTime, s.RestoreTime
 	gw := gateway.New(s.Node, gateway.Dependencies{Store: store, Listener: listeners[s.LinkAddress], Logger: logger, Registry: registry})
 	directory := leader.NewDirectory(ctx, store, leader.Member{Node: s.Node, Role: gateway.Role, Address: s.LinkAddress, IncarnationID: incarnationID, Cores: s.Cores, Candidate: true}, gw.LeaderStatus, nil, logger)
-	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings, EvacuationBound: s.EvacuateWithin}, leader.Dependencies{
+	candidate := leader.New(leader.Settings{Node: s.Node, IncarnationID: incarnationID, Planner: plannerSettings, EvacuationBound: s.EvacuateWithin, MaxJobBytes: runner.MemoryBytes(s.Common) / jobMemoryShare}, leader.Dependencies{
 		Store: store, Directory: directory, LeaderStatus: gw.LeaderStatus, Dial: messenger.DialTCP, Clock: leader.TimeSinceBoot, Logger: logger, Registry: registry,
 	})
 	config := platform.NewConfigWatcher(ctx, store, leader.TimeSinceBoot, logger, candidate)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	pv "persimmonvalve"
 	"persimmonvalve/internal/logfield"
@@ -44,7 +45,11 @@
 	inboxTimeout = 500 * time.Millisecond // for the store's answer to an inbox write; the outcome is then unknown
 	// maxInboxWrites bounds the writes to the inbox at a time, each of which has a connection to
 	// the store.
-	maxInboxWrites        = 16
+	maxInboxWrites = 16
+	// inboxBurstBytes and inboxBytesPerSecond bound the memory of the jobs that are written to the
+	// inbox: the next leader has to accept them.
+	inboxBurstBytes       = 4 << 20
+	inboxBytesPerSecond   = 256 << 10
 	probeInterval         = 500 * time.Millisecond // from an inbox write without an answer to the next probe of the store
 	answerValidity        = 200 * time.Millisecond // of an answer of the store: the next write needs no probe
 	questionRetryInterval = 50 * time.Millisecond  // between repeats of a question that is undecided
@@ -62,13 +67,16 @@
 	UnknownJob     Result = "unknownJob"
 	BadInput       Result = "badInput"
 	NoLeader       Result = "noLeader"   // no leader connected; the call had no effect
+	Overloaded     Result = "overloaded" // too many jobs are kept, or wait in the inbox; the call had no effect
 	StoreStalled   Result = "storeLost"  // the store doesn't answer or refuses writes; the call had no effect
 	NoAnswer       Result = "noAnswer"   // a read that got no answer in time; it had no effect
 	OutcomeUnknown Result = "unanswered" // the outcome of a submission or cancellation is unknown
 )
 
 // Refused reports whether the call had no effect and may be repeated.
-func (r Result) Refused() bool { return r == NoLeader || r == StoreStalled || r == NoAnswer }
+func (r Result) Refused() bool {
+	return r == NoLeader || r == StoreStalled || r == Overloaded || r == NoAnswer
+}
 
 // Answer is the answer to a call.
 type Answer struct {
@@ -97,6 +105,7 @@
 	callResults        *prometheus.CounterVec
 	inboxWrites        prometheus.Counter
 	inboxSlots         chan struct{} // holds one element for each write in progress
+	inboxBudget        *rate.Limiter // of the memory that jobs in the inbox take once a leader reads them
 
 	mu               sync.Mutex
 	breakerOpenUntil time.Time     // circuit breaker of inbox writes; zero while it is closed
@@ -109,7 +118,7 @@
 // New starts a gateway; Close ends it.
 func New(node string, d Dependencies) *Gateway {
 	g := &Gateway{
-		store: d.Store, logger: d.Logger, leaderChanged: make(chan struct{}), inboxSlots: make(chan struct{}, maxInboxWrites), pendingReplies: map[int64]chan *wire.Reply{},
+		store: d.Store, logger: d.Logger, leaderChanged: make(chan struct{}), inboxSlots: make(chan struct{}, maxInboxWrites), inboxBudget: rate.NewLimiter(inboxBytesPerSecond, inboxBurstBytes), pendingReplies: map[int64]chan *wire.Reply{},
 		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "pvalve", Name: "gateway_call_seconds", Help: "Duration of calls, in seconds, by kind.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 12)}, []string{"call"}),
 		callResults: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "pvalve", Name: "gateway_calls_total", Help: "Calls, by kind and result."}, []string{"call", "result"}),
 	}
@@ -176,27 +185,29 @@
 	if err != nil {
 		return Answer{}, Error.Wrap(err)
 	}
-	return g.call(ctx, &wire.Question{Kind: kind, Job: string(job.ID), Queue: queue.Name, Body: body, Policy: policy}), nil
+	q := &wire.Question{Kind: kind, Job: string(job.ID), Queue: queue.Name, Body: body, Policy: policy}
+	return g.call(ctx, q, job.MemoryBytes(len(body))), nil
 }
 
 // State returns a job's state.
 func (g *Gateway) State(ctx context.Context, id pv.JobID) Answer {
-	return g.call(ctx, &wire.Question{Kind: leader.QuestionState, Job: string(id)})
+	return g.call(ctx, &wire.Question{Kind: leader.QuestionState, Job: string(id)}, 0)
 }
 
 // Cancel cancels a job.
 func (g *Gateway) Cancel(ctx context.Context, id pv.JobID) Answer {
-	return g.call(ctx, &wire.Question{Kind: leader.QuestionCancel, Job: string(id)})
+	return g.call(ctx, &wire.Question{Kind: leader.QuestionCancel, Job: string(id)}, 0)
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
 func (g *Gateway) Pending(ctx context.Context, queue string) Answer {
-	return g.call(ctx, &wire.Question{Kind: leader.QuestionPending, Queue: queue})
+	return g.call(ctx, &wire.Question{Kind: leader.QuestionPending, Queue: queue}, 0)
 }
 
-func (g *Gateway) call(ctx context.Context, q *wire.Question) Answer {
+// call answers a question. The leader needs so much memory to keep the question's job.
+func (g *Gateway) call(ctx context.Context, q *wire.Question, jobBytes int64) Answer {
 	startedAt := time.Now()
-	a := g.callWithFallback(ctx, q)
+	a := g.callWithFallback(ctx, q, jobBytes)
 	if a.Result == OutcomeUnknown && !isWrite(q) {
 		a.Result = NoAnswer
 	}
@@ -216,14 +227,14 @@
 
 // callWithFallback sends a question to the leader, repeatedly while it is undecided,
 // and falls back to the inbox for submissions and cancellations.
-func (g *Gateway) callWithFallback(ctx context.Context, q *wire.Question) Answer {
+func (g *Gateway) callWithFallback(ctx context.Context, q *wire.Question, jobBytes int64) Answer {
 	sent := false
 	writes := isWrite(q)
 	for {
 		link := g.awaitLeader(ctx, sent && !writes)
 		switch {
 		case link == nil && writes:
-			return g.writeToInbox(ctx, q, sent)
+			return g.writeToInbox(ctx, q, jobBytes, sent)
 		case link == nil && sent:
 			return Answer{Result: OutcomeUnknown}
 		case link == nil:
@@ -236,7 +247,7 @@
 				return Answer{Result: OutcomeUnknown}
 			}
 			if writes {
-				return g.writeToInbox(ctx, q, sent) // the link closed, or the leader's reply timed out
+				return g.writeToInbox(ctx, q, jobBytes, sent) // the link closed, or the leader's reply timed out
 			}
 			if !sleep(ctx, questionRetryInterval) {
 				return Answer{Result: OutcomeUnknown}
@@ -250,8 +261,10 @@
 			return Answer{Result: UnknownJob}
 		case leader.VerdictBadInput:
 			return Answer{Result: BadInput}
+		case leader.VerdictOverloaded:
+			return Answer{Result: Overloaded}
 		case leader.VerdictStoreStalled:
-			return g.writeToInbox(ctx, q, sent) // this process may still reach the store
+			return g.writeToInbox(ctx, q, jobBytes, sent) // this process may still reach the store
 		}
 		// Undecided: the job is known, but its first record isn't committed yet. The
 		// earlier submission may still take effect, so the question is repeated.
--- a/gateway/inbox_test.go
+++ b/gateway/inbox_test.go
@@ -62,8 +62,7 @@
 		var group sync.WaitGroup
 		for i := range submissions {
 			group.Go(func() {
-				job := pv.Job{ID: pv.JobID(fmt.Sprint("j", i)), Steps: []pv.Step{{Count: 1, Size: pv.Resources{MilliCores: 100}}}}
-				answer, err := g.Submit(t.Context(), job, pv.Queue{Name: "q"})
+				answer, err := g.Submit(t.Context(), jobOfTasks(i, 1), pv.Queue{Name: "q"})
 				if err != nil {
 					t.Error(err)
 				}
@@ -81,3 +80,31 @@
 		}
 	})
 }
+
+func jobOfTasks(number, tasks int) pv.Job {
+	return pv.Job{ID: pv.JobID(fmt.Sprint("j", number)), Steps: []pv.Step{{Count: tasks, Size: pv.Resources{MilliCores: 100}}}}
+}
+
+// Large jobs without a leader: those that the next leader may have no memory for are refused.
+func TestLargeJobsInInboxAreBounded(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		store := &slowStore{}
+		g := New("g", Dependencies{Store: store, Listener: pipenet.New().Listen("g"), Logger: zap.NewNop(), Registry: prometheus.NewRegistry()})
+		defer g.Close()
+		results := map[Result]int{}
+		bytes := int64(0)
+		for i := range 10 {
+			job := jobOfTasks(i, pv.MaxJobTasks)
+			answer, err := g.Submit(t.Context(), job, pv.Queue{Name: "q"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if results[answer.Result]++; answer.Result == Done {
+				bytes += job.MemoryBytes(0)
+			}
+		}
+		if results[Done] == 0 || results[Overloaded] == 0 || results[Done] != store.written || bytes > inboxBurstBytes+inboxBytesPerSecond {
+			t.Errorf("got results %v, %d records written and %d bytes of memory, want some done, the others refused, and at most %d bytes", results, store.written, bytes, inboxBurstBytes+inboxBytesPerSecond)
+		}
+	})
+}
--- a/job.go
+++ b/job.go
@@ -78,6 +78,24 @@
 	MaxJobEncodedBytes = 240 << 10 // of the job as JSON; the store's records have at most 256 KiB
 )
 
+// Memory that a job takes in a process that keeps it, besides what grows with its encoding.
+const (
+	taskMemoryBytes     = 256
+	stepMemoryBytes     = 768
+	encodingMemoryShare = 4 // the encoding, its fields and its record, each up to the encoding's length
+)
+
+// MemoryBytes estimates the memory in bytes that a sound job takes in a process that keeps it, by
+// the length of its encoding.
+func (j *Job) MemoryBytes(encodedBytes int) int64 {
+	tasks := 0
+	for _, s := range j.Steps {
+		tasks += s.Count
+	}
+	occurrences := max(1, j.Occurrences)
+	return int64(encodingMemoryShare*encodedBytes + occurrences*(len(j.Steps)*stepMemoryBytes+tasks*taskMemoryBytes))
+}
+
 // Limits of the numbers of a job. Sums over the tasks of many jobs stay exact.
 const (
 	MaxResourceAmount = 1 << 40              // of each resource of one task
--- a/job_test.go
+++ b/job_test.go
@@ -89,3 +89,18 @@
 		t.Errorf("got %d bytes, %v, want at most %d and not much less", len(data), err, pv.MaxJobEncodedBytes)
 	}
 }
+
+// The memory of a job is at least that of its tasks, also if it has few bytes as JSON.
+func TestMemoryOfJob(t *testing.T) {
+	for name, c := range map[string]struct {
+		job  pv.Job
+		want int64
+	}{
+		"many tasks":       {pv.Job{Steps: []pv.Step{{Count: 10000}}}, 2 << 20},
+		"many occurrences": {pv.Job{Steps: []pv.Step{{Count: 1}}, Occurrences: 1000}, 800 << 10},
+	} {
+		if got := c.job.MemoryBytes(100); got < c.want || got > 2*c.want {
+			t.Errorf("%s: got %d bytes, want %d to twice as many", name, got, c.want)
+		}
+	}
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -70,6 +70,9 @@
 	// no run starts there any more; 0 if the site promises none. It is at least
 	// MinEvacuationBound otherwise.
 	EvacuationBound time.Duration
+	// MaxJobBytes is the memory that the jobs may take; further submissions are refused. 0 is no
+	// limit.
+	MaxJobBytes int64
 }
 
 // Dependencies are the services that a Leader uses.
--- a/leader/peer.go
+++ b/leader/peer.go
@@ -165,9 +165,10 @@
 const (
 	VerdictDone         = "done"
 	VerdictUnknownJob   = "unknownJob"
-	VerdictStoreStalled = "storeLost" // the store doesn't answer; the question had no effect
-	VerdictBadInput     = "badInput"  // the question is invalid and had no effect
-	VerdictUndecided    = "undecided" // the job's first record isn't committed yet
+	VerdictStoreStalled = "storeLost"  // the store doesn't answer; the question had no effect
+	VerdictOverloaded   = "overloaded" // the leader keeps too many jobs; the question had no effect
+	VerdictBadInput     = "badInput"   // the question is invalid and had no effect
+	VerdictUndecided    = "undecided"  // the job's first record isn't committed yet
 	QuestionSubmit      = "submit"
 	QuestionState       = "state"
 	QuestionCancel      = "cancel"
@@ -279,6 +280,27 @@
 		replyVerdict(VerdictBadInput)()
 		return
 	}
+	if !t.hasRoomFor(spec.MemoryBytes(len(q.Body))) {
+		t.logger.Info("leader: job refused", zap.String("job", q.Job), zap.String("reason", VerdictOverloaded), zap.Int64("jobBytes", t.planner.JobBytes()), zap.Int64("epoch", t.epoch))
+		replyVerdict(VerdictOverloaded)()
+		return
+	}
 	t.planner.Submit(now, spec, q.Body, queue)
 	t.afterCommit = append(t.afterCommit, replyVerdict(VerdictDone))
 }
+
+// Jobs that take up to smallJobBytes may exceed Settings.MaxJobBytes by one jobReserveShare-th, so
+// that large ones don't keep ordinary callers out.
+const (
+	smallJobBytes   = 16 << 10
+	jobReserveShare = 2
+)
+
+// hasRoomFor reports whether a job that takes the given memory may be accepted.
+func (t *term) hasRoomFor(bytes int64) bool {
+	limit := t.leader.settings.MaxJobBytes
+	if limit > 0 && bytes <= smallJobBytes {
+		limit += limit / jobReserveShare
+	}
+	return limit <= 0 || t.planner.JobBytes()+bytes <= limit
+}
--- a/planner/job.go
+++ b/planner/job.go
@@ -119,6 +119,8 @@
 	return j
 }
 
+func (j *job) memoryBytes() int64 { return j.spec.MemoryBytes(len(j.rawSpec)) }
+
 // estimateCriticalPaths sets the critical path of each step of the occurrence appended
 // last, whose first step is at position firstStep: the longest sum of estimates over a
 // chain of dependent steps that starts with the step.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -38,6 +38,7 @@
 	settings Settings
 	epoch    int64
 	jobs     map[pv.JobID]*job
+	jobBytes int64  // of memory, as estimated
 	active   []*job // not ended
 	workers  map[pv.WorkerID]*worker
 	queues   map[string]pv.Queue
@@ -99,7 +100,7 @@
 		queue = q
 	}
 	j := newJob(spec, raw, queue, now)
-	p.jobs[spec.ID] = j
+	p.keep(j)
 	p.addWork(j)
 	p.active = append(p.active, j)
 	p.markStateDirty(j)
@@ -152,6 +153,15 @@
 	return n
 }
 
+// keep adds a job that isn't known yet.
+func (p *Planner) keep(j *job) {
+	p.jobs[j.spec.ID] = j
+	p.jobBytes += j.memoryBytes()
+}
+
+// JobBytes estimates the memory in bytes that all jobs take, also those that have ended.
+func (p *Planner) JobBytes() int64 { return p.jobBytes }
+
 // JobCounts returns the number of jobs that have not ended and of all jobs in memory.
 func (p *Planner) JobCounts() (active, kept int) { return len(p.active), len(p.jobs) }
 
@@ -266,6 +276,7 @@
 	for id, j := range p.jobs {
 		if j.state.Ended() && j.openRuns == 0 && now.Sub(j.endedAt) > p.settings.EndedRetention {
 			delete(p.jobs, id)
+			p.jobBytes -= j.memoryBytes()
 			p.removedRecords = append(p.removedRecords, j.removal()...)
 		}
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -616,3 +616,20 @@
 		})
 	}
 }
+
+// The memory of jobs is counted until they are removed.
+func TestMemoryOfJobs(t *testing.T) {
+	p, now := New(DefaultSettings(), 1), time.Now()
+	spec := pv.Job{ID: "j", Steps: []pv.Step{{Count: 3}}}
+	raw := []byte(`{}`)
+	p.Submit(now, spec, raw, pv.Queue{})
+	p.Submit(now, spec, raw, pv.Queue{}) // a repeat
+	if got, want := p.JobBytes(), spec.MemoryBytes(len(raw)); got != want {
+		t.Errorf("got %d bytes of jobs, want %d", got, want)
+	}
+	p.Cancel(now, spec.ID)
+	p.expire(now.Add(p.settings.EndedRetention + time.Second))
+	if got := p.JobBytes(); got != 0 {
+		t.Errorf("got %d bytes of jobs after their removal, want 0", got)
+	}
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -331,7 +331,7 @@
 			p.addRun(restored)
 		}
 	}
-	p.jobs[submitted.ID] = j
+	p.keep(j)
 	p.addWork(j)
 	if !j.state.Ended() {
 		p.active = append(p.active, j)
