messenger: links on which no leader has been accepted are few and small

What callers saw: nothing; 300 connections to the link address of a process took 350 to 410 MB with frames that stop short of their end, 6.3 GB with 50 streams each, and more than 310 descriptors by sending nothing.

Cause: the link address bounded nothing but the time for a handshake. A frame's length, up to 16 MB, was allocated before its bytes came, and each connection could open 256 streams with windows of 256 KB.

Why it works: of the connections on which no leader has been accepted the newest 16 are kept. Each may send 32 KiB, frames of 16 KiB and one stream; a leader's greeting takes some dozen bytes. After it, frames may have 16 MB as before.

Not covered: a caller that names a higher epoch is taken for the leader, and the session addresses of the older path's agents.

--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -2,11 +2,15 @@
 
 // This file defines LeaderAcceptor, which accepts the links that leaders open. It
 // refuses a leader whose epoch is lower than the highest one seen. A link with the
-// same or a higher epoch replaces the current one.
+// same or a higher epoch replaces the current one. Connections on which no leader has been
+// accepted yet are few, and their frames are small.
 
 import (
+	"math"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +22,27 @@
 // would refuse all leaders.
 const MaxEpoch = 1 << 50
 
+// Limits of the connections on which no leader has been accepted.
+const (
+	maxPendingLinks = 16       // a further one takes the place of the oldest
+	maxPendingBytes = 32 << 10 // received on one of them
+)
+
+// pendingConn is a connection that may receive a limited number of bytes.
+type pendingConn struct {
+	net.Conn
+	bytesLeft atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *pendingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.bytesLeft.Add(-int64(n)) < 0 {
+		return 0, Error.New("too many bytes before a leader was accepted")
+	}
+	return n, err
+}
+
 // LeaderAcceptor accepts the leader's link. It is safe for concurrent use.
 type LeaderAcceptor struct {
 	node, role string
@@ -28,9 +53,10 @@
 	epoch          int64 // highest epoch seen
 	link           *Link
 	links          map[*Link]bool
-	stalledSince   time.Time // first of the pings in a row that report that the store doesn't answer the leader; zero if the last ping didn't
-	disconnectedAt time.Time // of the last frame on the last leader's link, which has ended, or when it stepped down; at first, when this process started
-	steppedDown    bool      // the last leader announced that it steps down
+	pending        []*pendingConn // on which no leader has been accepted, oldest first
+	stalledSince   time.Time      // first of the pings in a row that report that the store doesn't answer the leader; zero if the last ping didn't
+	disconnectedAt time.Time      // of the last frame on the last leader's link, which has ended, or when it stepped down; at first, when this process started
+	steppedDown    bool           // the last leader announced that it steps down
 }
 
 // LeaderHandler handles the events of leaders' links. Calls for one link are
@@ -48,12 +74,38 @@
 func NewLeaderAcceptor(node, role string, listener net.Listener, logger *zap.Logger, handler LeaderHandler) *LeaderAcceptor {
 	a := &LeaderAcceptor{node: node, role: role, listener: listener, handler: handler, links: map[*Link]bool{}, disconnectedAt: time.Now()}
 	go func() {
-		acceptAll(listener, logger, func(conn net.Conn) { go a.serve(conn) })
+		acceptAll(listener, logger, func(conn net.Conn) {
+			pending := &pendingConn{Conn: conn}
+			pending.bytesLeft.Store(maxPendingBytes)
+			a.addPending(pending)
+			go a.serve(pending)
+		})
 	}()
 	return a
 }
 
-func (a *LeaderAcceptor) serve(conn net.Conn) {
+func (a *LeaderAcceptor) addPending(conn *pendingConn) {
+	a.mu.Lock()
+	a.pending = append(a.pending, conn)
+	var oldest *pendingConn
+	if len(a.pending) > maxPendingLinks {
+		oldest = a.pending[0]
+		a.pending = a.pending[1:]
+	}
+	a.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Close() // its goroutine sees the end of the link
+	}
+}
+
+func (a *LeaderAcceptor) removePending(conn *pendingConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending = slices.DeleteFunc(a.pending, func(p *pendingConn) bool { return p == conn })
+}
+
+func (a *LeaderAcceptor) serve(conn *pendingConn) {
+	defer a.removePending(conn)
 	l, err := accept(conn)
 	if err != nil {
 		return // the connection failed before a link was open
@@ -65,7 +117,11 @@
 	err = l.Run(func(f *wire.LinkFrame) {
 		switch body := f.Body.(type) {
 		case *wire.LinkFrame_Greeting:
-			connected = a.handleGreeting(l, body.Greeting)
+			if connected = a.handleGreeting(l, body.Greeting); connected {
+				a.removePending(conn)
+				conn.bytesLeft.Store(math.MaxInt64)
+				l.maxFrameBytes = MaxFrameBytes
+			}
 		case *wire.LinkFrame_Ping:
 			l.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Pong{Pong: body.Ping}})
 			a.handlePing(l, body.Ping)
--- a/messenger/acceptor_test.go
+++ b/messenger/acceptor_test.go
@@ -112,3 +112,44 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Connections on which no leader is accepted don't end the leader's link, and its frames may be
+// large.
+func TestLeaderBesidePendingConnections(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		network := pipenet.New()
+		l := network.Listen("process")
+		handler := countingHandler{make(chan *wire.LinkFrame, 4)}
+		a := NewLeaderAcceptor("process", "gateway", l, zap.NewNop(), handler)
+		link, err := OpenLink(context.Background(), network.Dialer("leader"), l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = link.Run(func(*wire.LinkFrame) {}) }()
+		link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Greeting{Greeting: &wire.Greeting{Leader: "leader", Epoch: 1}}})
+		time.Sleep(10 * time.Millisecond)
+		var first *Link
+		for range 3 * maxPendingLinks {
+			pending, err := OpenLink(context.Background(), network.Dialer("stranger"), l.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer pending.Close()
+			go func() { _ = pending.Run(func(*wire.LinkFrame) {}) }()
+			if first == nil {
+				first = pending
+			}
+		}
+		link.Send(&wire.LinkFrame{Body: &wire.LinkFrame_Question{Question: &wire.Question{Body: make([]byte, 1<<20)}}})
+		time.Sleep(100 * time.Millisecond)
+		if len(handler.frames) != 1 || a.Leader() == nil {
+			t.Errorf("got %d frames of the leader, linked: %t; want 1 and true", len(handler.frames), a.Leader() != nil)
+		}
+		if !first.isClosed() {
+			t.Error("got the oldest pending connection open, want it closed for a newer one")
+		}
+		link.Close()
+		a.Close()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -26,18 +26,20 @@
 	linkQueueFrames  = 4096                   // frames waiting to be written; one more closes the link
 	linkWriteTimeout = 2 * time.Second        // of one write
 	linkBufferBytes  = 16 << 10               // size of the read and write buffers
+	maxGreetingBytes = 16 << 10               // of the frames before a leader is accepted
 	LinkTimeout      = 2 * time.Second        // time without a frame after which a link is closed
 	PingInterval     = 500 * time.Millisecond // between two pings of the leader
 )
 
 // Link is one stream of frames. It is safe for concurrent use.
 type Link struct {
-	session     *yamux.Session
-	stream      net.Conn
-	outgoing    chan *wire.LinkFrame
-	done        chan struct{}
-	closeOnce   sync.Once
-	lastFrameAt atomic.Int64 // time of the last received frame in nanoseconds since clockBase; at first, of the link's opening
+	session       *yamux.Session
+	stream        net.Conn
+	outgoing      chan *wire.LinkFrame
+	done          chan struct{}
+	closeOnce     sync.Once
+	maxFrameBytes int64        // of a received frame; owned by the goroutine of Run
+	lastFrameAt   atomic.Int64 // time of the last received frame in nanoseconds since clockBase; at first, of the link's opening
 }
 
 // clockBase is the origin of Link.lastFrameAt, which is monotonic.
@@ -69,12 +71,15 @@
 		_ = session.Close()
 		return nil, Error.Wrap(err)
 	}
-	return newLink(session, stream), nil
+	return newLink(session, stream, MaxFrameBytes), nil
 }
 
-// accept waits at most LinkTimeout for the peer to open a link on the connection.
+// accept waits at most LinkTimeout for the peer to open a link on the connection. Further streams
+// on it are refused.
 func accept(conn net.Conn) (*Link, error) {
-	session, err := yamux.Server(conn, linkConfig())
+	config := linkConfig()
+	config.AcceptBacklog = 1
+	session, err := yamux.Server(conn, config)
 	if err != nil {
 		_ = conn.Close()
 		return nil, Error.Wrap(err)
@@ -86,7 +91,7 @@
 		_ = session.Close()
 		return nil, Error.Wrap(err)
 	}
-	return newLink(session, stream), nil
+	return newLink(session, stream, maxGreetingBytes), nil
 }
 
 func linkConfig() *yamux.Config {
@@ -97,8 +102,8 @@
 	return config
 }
 
-func newLink(session *yamux.Session, stream net.Conn) *Link {
-	l := &Link{session: session, stream: stream, outgoing: make(chan *wire.LinkFrame, linkQueueFrames), done: make(chan struct{})}
+func newLink(session *yamux.Session, stream net.Conn, maxFrameBytes int64) *Link {
+	l := &Link{session: session, stream: stream, maxFrameBytes: maxFrameBytes, outgoing: make(chan *wire.LinkFrame, linkQueueFrames), done: make(chan struct{})}
 	l.lastFrameAt.Store(int64(time.Since(clockBase)))
 	return l
 }
@@ -117,7 +122,8 @@
 			return Error.Wrap(err)
 		}
 		f := &wire.LinkFrame{}
-		if err := readOptions.UnmarshalFrom(reader, f); err != nil {
+		options := protodelim.UnmarshalOptions{MaxSize: l.maxFrameBytes}
+		if err := options.UnmarshalFrom(reader, f); err != nil {
 			return Error.Wrap(err)
 		}
 		l.lastFrameAt.Store(int64(time.Since(clockBase)))
