--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -204,7 +204,8 @@
 	return g.call(ctx, &wire.Question{Kind: leader.QuestionPending, Queue: queue}, 0)
 }
 
-// call answers a question. The leader needs so much memory to keep the question's job.
+// call answers a question. The leader needs jobBytes of memory to keep the question's job, if it
+// has one.
 func (g *Gateway) call(ctx context.Context, q *wire.Question, jobBytes int64) Answer {
 	startedAt := time.Now()
 	a := g.callWithFallback(ctx, q, jobBytes)
--- a/gateway/inbox.go
+++ b/gateway/inbox.go
@@ -19,8 +19,8 @@
 	"persimmonvalve/leader"
 )
 
-// writeToInbox writes a submission or cancellation to the inbox. The next leader needs so much
-// memory to keep the job. If sent, a leader may have received it already, so that it can't be
+// writeToInbox writes a submission or cancellation to the inbox. The next leader needs
+// jobBytes of memory to keep the job. If sent, a leader may have received it already, so that it can't be
 // refused any more.
 func (g *Gateway) writeToInbox(ctx context.Context, q *wire.Question, jobBytes int64, sent bool) Answer {
 	if !g.inboxBudget.AllowN(time.Now(), int(jobBytes)) {
--- a/job.go
+++ b/job.go
@@ -80,9 +80,9 @@
 
 // Memory that a job takes in a process that keeps it, besides what grows with its encoding.
 const (
-	taskMemoryBytes     = 256
-	stepMemoryBytes     = 768
-	encodingMemoryShare = 4 // the encoding, its fields and its record, each up to the encoding's length
+	taskMemoryBytes      = 256
+	stepMemoryBytes      = 768
+	encodingMemoryFactor = 4 // for the encoding, the decoded fields and the records
 )
 
 // MemoryBytes estimates the memory in bytes that a sound job takes in a process that keeps it, by
@@ -93,7 +93,7 @@
 		tasks += s.Count
 	}
 	occurrences := max(1, j.Occurrences)
-	return int64(encodingMemoryShare*encodedBytes + occurrences*(len(j.Steps)*stepMemoryBytes+tasks*taskMemoryBytes))
+	return int64(encodingMemoryFactor*encodedBytes + occurrences*(len(j.Steps)*stepMemoryBytes+tasks*taskMemoryBytes))
 }
 
 // Limits of the numbers of a job. Sums over the tasks of many jobs stay exact.
