limiter: a request whose body the handler leaves unread doesn't keep its connection

What callers saw: at an entry, all connections kept for good by requests that were answered without reading their body, and whose body never ended; newcomers were closed.

Cause: the server reads on for the rest of such a body before it writes the answer. The time for a body counted from the handler's first read, so that it had no end there, and the request counted as handled, which keeps its place.

TestNewcomersBesideOccupiedConnections/unread bodies fails without this change.

Why it works: the time for a body counts from the end of its head again, and once the handler has returned, a request whose body hasn't ended is incomplete.

--- a/limiter/answers_test.go
+++ b/limiter/answers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -116,13 +117,26 @@
 		"unread answers":      {"GET /large HTTP/1.1\r\nHost: a\r\n\r\n", true},
 		"unread, may change":  {"POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", true},
 		"reads that wait":     {"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n", true},
+		"unread bodies":       {"POST /ignored HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{", true},
 		"changes in progress": {"POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const connections = 20
 			address, inProgress := startServer(t, NewSettings(64<<20, connections, DefaultBodyTimeout))
-			occupy(t, address, inProgress, connections, c.request)
+			if strings.Contains(c.request, "/ignored") {
+				for range connections { // the handler doesn't wait, so there is none in progress
+					conn, err := net.Dial("tcp", address)
+					if err != nil {
+						t.Fatal(err)
+					}
+					t.Cleanup(func() { _ = conn.Close() })
+					_, _ = io.WriteString(conn, c.request)
+				}
+				time.Sleep(minTenure)
+			} else {
+				occupy(t, address, inProgress, connections, c.request)
+			}
 			if got := isServed(address, time.Now().Add(3*stalledGrace)); got != c.want {
 				t.Errorf("got a newcomer served: %t, want %t", got, c.want)
 			}
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -118,11 +118,16 @@
 	return c.limiter.conns[c]
 }
 
-// handled releases the memory of the request, whose answer may still have to be written.
-func (c *conn) handled() {
+// handled releases the memory of the request, whose answer may still have to be written. If its
+// body hasn't ended, the server reads on before it writes the answer, so that the request is
+// incomplete again.
+func (c *conn) handled(bodyEnded bool) {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.limiter.release(c)
+	if !bodyEnded {
+		c.phase = phaseBody
+	}
 }
 
 // end marks the request as answered. What was read beyond it belongs to the next one.
@@ -153,10 +158,14 @@
 		if !c.begin(r.Method == http.MethodGet || r.Method == http.MethodHead) {
 			panic(http.ErrAbortHandler) // ends the request without an answer
 		}
-		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+		if r.Body == nil || r.Body == http.NoBody {
+			defer c.handled(true)
+		} else {
+			_ = c.SetReadDeadline(time.Now().Add(l.settings.BodyTimeout)) // fails only on a closed connection
+			b := &body{ReadCloser: r.Body, conn: c}
+			r.Body = b
+			defer func() { c.handled(b.read) }()
 		}
-		defer c.handled()
 		h.ServeHTTP(w, r)
 	})
 }
@@ -175,7 +184,6 @@
 	if !b.started {
 		b.started = true
 		b.conn.enter(phaseBody)
-		_ = b.conn.SetReadDeadline(time.Now().Add(b.conn.limiter.settings.BodyTimeout)) // fails only on a closed connection
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.read {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -17,7 +17,7 @@
 	MaxConnections int           // open connections
 	MaxHeaderBytes int           // of the head of one request
 	HeaderTimeout  time.Duration // for reading the head of a request
-	BodyTimeout    time.Duration // for reading the body of a request, from its first read
+	BodyTimeout    time.Duration // for reading the body of a request, from the end of its head
 	AnswerTimeout  time.Duration // for the caller to take maxWriteBytes of an answer
 }
 
@@ -275,7 +275,7 @@
 const minHoldTime = 100 * time.Millisecond
 
 // evict closes a connection, whose reads and writes then fail. Unless the reason is reasonUnread,
-// nothing of its request has run or changes anything.
+// no complete request of it has run or changes anything.
 func (l *Limiter) evict(now time.Time, c *conn, reason string) {
 	l.forget(c)
 	_ = c.Conn.Close()
