standin: a worker that has crashed doesn't answer polls in progress

What tests saw: a worker that crashed and started again at once answered the poll in progress for its former incarnation, up to half a second after the crash. The supervisor took that incarnation to be alive, and its next poll acknowledged ends by the former one's numbers, which the next one took for its own: a failed run was never reported, and its gang got one attempt more than its queue allows.

Cause: the answer was made when the poll began, and a poll that waits isn't ended by a crash. "A worker that crashes sends nothing."

Why it works: a poll that has waited is answered only by the incarnation that took it. It then fails, as it does on a real worker, and a poll that follows a failed one acknowledges nothing.

A worker that restarts between the answer to a poll and the next poll, within at most 150 ms, can still be sent such an acknowledgement: calls name the worker's id only.

--- a/standin/job_worker.go
+++ b/standin/job_worker.go
@@ -458,7 +458,7 @@
 		for ref, run := range r.runs {
 			out.Running = append(out.Running, pv.RunStatus{Run: ref, ProgressPercent: run.progressPercent()})
 		}
-		changed, reset := r.changed, r.reset
+		changed, reset, generation := r.changed, r.reset, r.generation
 		r.mu.Unlock()
 		if len(out.Ended) > 0 || wait == 0 {
 			return r.answerPoll(ctx, out)
@@ -468,6 +468,10 @@
 		case <-reset:
 			return pv.WorkerRuns{}, errReset
 		case <-timeout:
+			if r.hasCrashedSince(generation) {
+				<-ctx.Done()
+				return pv.WorkerRuns{}, errNoWorker
+			}
 			return r.answerPoll(ctx, out)
 		case <-ctx.Done():
 			return pv.WorkerRuns{}, ctx.Err()
@@ -475,6 +479,13 @@
 	}
 }
 
+// hasCrashedSince reports whether the worker has crashed or restarted since the generation.
+func (r *JobWorker) hasCrashedSince(generation int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation != generation
+}
+
 // answerPoll returns the answer to a poll, after the delays of injected faults.
 func (r *JobWorker) answerPoll(ctx context.Context, out pv.WorkerRuns) (pv.WorkerRuns, error) {
 	r.mu.Lock()
--- a/standin/job_worker_test.go
+++ b/standin/job_worker_test.go
@@ -308,3 +308,18 @@
 		}
 	})
 }
+
+// A worker that has crashed and started again at once answered a poll in progress for its former
+// incarnation, up to half a second after the crash. Its supervisor then acknowledged ends by that
+// incarnation's numbers, which the next one took for its own.
+func TestCrashedWorkerAnswersNoPollInProgress(t *testing.T) {
+	pipenet.Bubble(t, func(t *testing.T) {
+		w := newJobWorkerTest(t, nil)
+		time.AfterFunc(100*time.Millisecond, w.Restart)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if got, err := w.Poll(ctx, "w", w.lease, 0, 500*time.Millisecond); err == nil {
+			t.Errorf("got %+v, want no answer", got)
+		}
+	})
+}
