planner: an attempt of a gang fails once, however many of its members do

Cause: each failed run of a member was counted as a failed attempt of its gang. A new leader knew how many members had failed, but not in which attempt.

Why it works: an attempt counts with the first of its members that fails. The number of the last attempt that counts is stored with that end, so that the next leader neither counts it again nor forgets it. No attempt is assigned before all runs of the one before have ended, so one number is enough. Records of earlier versions, which have numbers of members, are taken for the largest number of attempts that they allow. The placement of gangs moves to the new file as it is.

--- a/planner/doc.go
+++ b/planner/doc.go
@@ -9,6 +9,7 @@
 //   - evacuation.go: evacuation of zones
 //   - explain.go: where a job would go, without submitting it
 //   - fillers.go: workers on which fillers run
+//   - gang.go: attempts of gangs
 //   - interference.go: learning of interference coefficients
 //   - job.go: state of jobs, steps, tasks and runs
 //   - orders.go: orders to a worker's supervisor
--- a/planner/job.go
+++ b/planner/job.go
@@ -37,7 +37,7 @@
 	due          time.Time
 	tasks        []*task
 	openTasks    int // tasks that are not finished
-	gangFailures int // of the gang as a whole
+	gangFailures gangFailures
 	predecessors []*step
 	slackModel   slackModel    // of a step with a latency target
 	criticalPath time.Duration // estimated time from this step's start to the end of the occurrence
@@ -162,13 +162,3 @@
 }
 
 func (t *task) waiting() bool { return !t.finished && t.run == nil }
-
-// gangWaiting reports whether no task of the gang has a run.
-func (s *step) gangWaiting() bool {
-	for _, t := range s.tasks {
-		if t.run != nil {
-			return false
-		}
-	}
-	return true
-}
--- a/planner/place.go
+++ b/planner/place.go
@@ -272,43 +272,6 @@
 	p.addEvent(Event{Kind: "run assigned", Job: t.step.job.spec.ID, Run: r.ref(), Worker: w.state.ID, Incarnation: r.incarnation, FencingToken: w.fencingToken, ReportAge: now.Sub(w.lease.readAt), Reason: kindOf(t.step.spec)})
 }
 
-// placeGang assigns all tasks of a gang, or none.
-func (p *Planner) placeGang(now time.Time, s *step, workers []*worker) {
-	if !s.gangWaiting() {
-		return
-	}
-	attempt := 0
-	for _, t := range s.tasks {
-		attempt = max(attempt, t.attempt)
-	}
-	var chosen []*worker
-	release := func() {
-		for _, w := range chosen {
-			w.adjustReserved(s.spec, -1)
-		}
-	}
-	for _, t := range s.tasks {
-		w := p.chooseWorker(t, workers)
-		if w == nil {
-			release()
-			return
-		}
-		w.adjustReserved(s.spec, 1)
-		chosen = append(chosen, w)
-	}
-	release()
-	checkpoint := ""
-	for _, t := range s.tasks {
-		if t.checkpoint != "" {
-			checkpoint = t.checkpoint
-		}
-	}
-	for i, t := range s.tasks {
-		t.checkpoint = checkpoint // a checkpoint of any task is valid for the whole gang
-		p.assign(now, t, chosen[i], attempt+1)
-	}
-}
-
 // kindOf returns the kind of a step for logs and metrics.
 func kindOf(s *pv.Step) string {
 	switch {
--- a/planner/record.go
+++ b/planner/record.go
@@ -75,10 +75,14 @@
 }
 
 type stateRecord struct {
-	State        pv.JobState     `json:"state"`
-	EndedUnixMS  int64           `json:"ended,omitempty"` // Unix milliseconds
-	Tasks        json.RawMessage `json:"tasks,omitempty"` // tasksApart; a list of taskRecord in records of earlier versions
-	GangFailures []int           `json:"gangs,omitempty"` // failures of each step; absent when all are 0
+	State       pv.JobState     `json:"state"`
+	EndedUnixMS int64           `json:"ended,omitempty"` // Unix milliseconds
+	Tasks       json.RawMessage `json:"tasks,omitempty"` // tasksApart; a list of taskRecord in records of earlier versions
+	// GangFailures are the failed attempts of each step's gang, and GangAttempts the last ones of
+	// them; both are absent when all are 0. Earlier versions wrote no GangAttempts, and counted
+	// members instead of attempts.
+	GangFailures []int `json:"gangs,omitempty"`
+	GangAttempts []int `json:"gangAttempts,omitempty"`
 }
 
 // tasksApart states, in place of the tasks, that they have records of their own.
@@ -127,11 +131,12 @@
 	}
 	failed := false
 	for _, s := range j.steps {
-		state.GangFailures = append(state.GangFailures, s.gangFailures)
-		failed = failed || s.gangFailures > 0
+		state.GangFailures = append(state.GangFailures, s.gangFailures.attempts)
+		state.GangAttempts = append(state.GangAttempts, s.gangFailures.lastAttempt)
+		failed = failed || s.gangFailures.attempts > 0
 	}
 	if !failed {
-		state.GangFailures = nil
+		state.GangFailures, state.GangAttempts = nil, nil
 	}
 	return append(out, pv.KeyedRecord{Key: statePrefix + string(j.spec.ID), Value: encode(state)})
 }
@@ -270,11 +275,6 @@
 	if state.EndedUnixMS > 0 {
 		j.endedAt = time.UnixMilli(state.EndedUnixMS)
 	}
-	for i, n := range state.GangFailures {
-		if i < len(j.steps) {
-			j.steps[i].gangFailures = n
-		}
-	}
 	var tasks []taskRecord
 	if len(state.Tasks) > 0 && state.Tasks[0] == '[' { // written by an earlier version
 		if err := json.Unmarshal(state.Tasks, &tasks); err != nil {
@@ -331,6 +331,16 @@
 			p.addRun(restored)
 		}
 	}
+	for i, n := range state.GangFailures {
+		if i >= len(j.steps) {
+			break
+		}
+		last := 0
+		if i < len(state.GangAttempts) {
+			last = state.GangAttempts[i]
+		}
+		j.steps[i].restoreGangFailures(n, last)
+	}
 	p.keep(j)
 	p.addWork(j)
 	if !j.state.Ended() {
--- a/planner/report.go
+++ b/planner/report.go
@@ -332,13 +332,18 @@
 	if s.spec.Standing || j.state.Ended() {
 		return
 	}
-	failures := &t.failures
+	failures := 0
 	if s.spec.Gang {
-		failures = &s.gangFailures
+		if !s.gangFailures.add(r.attempt) {
+			return // another member of this attempt has failed before
+		}
 		p.markStateDirty(j)
+		failures = s.gangFailures.attempts
+	} else {
+		t.failures++
+		failures = t.failures
 	}
-	*failures++
-	if *failures >= max(1, j.queue.MaxAttempts) {
+	if failures >= max(1, j.queue.MaxAttempts) {
 		p.endJob(now, j, pv.JobFailed, "attemptsExhausted")
 	}
 }
--- a/standin/run_audit.go
+++ b/standin/run_audit.go
@@ -24,6 +24,7 @@
 	succeeded    map[pv.TaskRef]bool           // a run succeeded, acknowledged or not
 	crashCount   map[pv.TaskRef]int            // crashes of workers while the task ran there
 	lateStarts   map[pv.TaskRef]int            // starts of a task that crashes its workers, after maxCrashes crashes
+	failedRuns   map[pv.RunRef]bool            // whether the end was acknowledged under a valid lease
 }
 
 // NewRunAudit returns an empty audit. The function predecessors returns the
@@ -32,7 +33,7 @@
 	return &RunAudit{
 		runningCount: map[pv.TaskRef]int{}, acknowledged: map[pv.TaskRef]bool{}, startedJobs: map[pv.JobID]bool{},
 		cancelledAt: map[pv.JobID]time.Time{}, predecessors: predecessors, succeeded: map[pv.TaskRef]bool{},
-		crashCount: map[pv.TaskRef]int{}, lateStarts: map[pv.TaskRef]int{},
+		crashCount: map[pv.TaskRef]int{}, lateStarts: map[pv.TaskRef]int{}, failedRuns: map[pv.RunRef]bool{},
 	}
 }
 
@@ -89,6 +90,26 @@
 	return a.crashCount[t]
 }
 
+// FailedAttempts returns the number of attempts of the job's tasks in which at least one run has
+// failed, and of those of which the end of such a run was acknowledged under a valid lease.
+func (a *RunAudit) FailedAttempts(id pv.JobID) (ended, acknowledged int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	attempts := map[int]bool{}
+	for r, acked := range a.failedRuns {
+		if r.Task.Job == id {
+			attempts[r.Attempt] = attempts[r.Attempt] || acked
+		}
+	}
+	for _, acked := range attempts {
+		ended++
+		if acked {
+			acknowledged++
+		}
+	}
+	return ended, acknowledged
+}
+
 // RecordCancellation records that a job's cancellation was acknowledged.
 func (a *RunAudit) RecordCancellation(id pv.JobID) {
 	a.mu.Lock()
@@ -150,8 +171,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.runningCount[r.Task]--
-	if kind == pv.EndSucceeded {
+	switch kind {
+	case pv.EndSucceeded:
 		a.succeeded[r.Task] = true
+	case pv.EndFailed:
+		a.failedRuns[r] = false
 	}
 }
 
@@ -172,7 +196,10 @@
 func (a *RunAudit) recordAcknowledged(e pv.RunEnd) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if e.Kind == pv.EndSucceeded {
+	switch e.Kind {
+	case pv.EndSucceeded:
 		a.acknowledged[e.Run.Task] = true
+	case pv.EndFailed:
+		a.failedRuns[e.Run] = true
 	}
 }
