planner: a failed attempt of a gang is one failure of its worker

Cause: each failed run counted as a failure in a row of its worker, as each counted as an attempt of its gang. The failed runs of one attempt have one cause.

Why it works: the first failed run of an attempt on a worker counts for that worker, the others don't. A worker on which three attempts in a row fail is quarantined, as before.

Result: the planner's tests pass, among them that of the attempts without a change of the quarantine by the test.

--- a/planner/gang.go
+++ b/planner/gang.go
@@ -7,24 +7,35 @@
 // run belong to the latest attempt. Several members may fail in one attempt, on several
 // workers, and their ends may reach different leaders: the attempt has failed once.
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	pv "persimmonvalve"
+)
 
 // gangFailures counts the failed attempts of a gang. It is stored, so that a new leader doesn't
 // count an attempt again by a member whose end its predecessor hadn't received.
 type gangFailures struct {
-	attempts    int // in which at least one member has failed
-	lastAttempt int // the number of the last of them; 0 if there is none
+	attempts    int           // in which at least one member has failed
+	lastAttempt int           // the number of the last of them; 0 if there is none
+	workers     []pv.WorkerID // on which members failed in that attempt; not stored
 }
 
-// add records that a member has failed in an attempt, and reports whether it is the first one of
-// that attempt.
-func (f *gangFailures) add(attempt int) bool {
-	if attempt <= f.lastAttempt {
-		return false
+// add records that a member's run has failed, and reports whether it is the first one of its
+// attempt, and the first one of its attempt on its worker.
+func (f *gangFailures) add(r *run) (firstOfAttempt, firstOnWorker bool) {
+	if r.attempt > f.lastAttempt {
+		f.attempts++
+		f.lastAttempt, f.workers = r.attempt, nil
+		firstOfAttempt = true
 	}
-	f.attempts++
-	f.lastAttempt = attempt
-	return true
+	id := r.worker.state.ID
+	if slices.Contains(f.workers, id) {
+		return firstOfAttempt, false
+	}
+	f.workers = append(f.workers, id)
+	return firstOfAttempt, true
 }
 
 // restoreGangFailures sets the number of failed attempts and the last of them, as a former leader has
--- a/planner/gang_test.go
+++ b/planner/gang_test.go
@@ -73,7 +73,6 @@
 			h.reportPoll("w", 1, PollResult{})
 			h.submit("j", gangStep(members))
 			for attempt := 1; attempt <= testQueue.MaxAttempts; attempt++ {
-				h.p.worker(h.now, "w").quarantinedUntil = h.now
 				h.advance(h.p.settings.MaxPlaceInterval)
 				starts := h.sendOrders("w")
 				if len(starts) != members || starts[0].Attempt != attempt {
@@ -98,15 +97,15 @@
 		want         gangFailures
 	}{
 		"no failure":                        {`{"state":"running","tasks":"apart"}`, `[{"index":0,"attempt":2},{"index":1,"attempt":2}]`, gangFailures{}},
-		"first attempt, one member runs":    {`{"state":"running","tasks":"apart","gangs":[2]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1,"worker":"w","life":1}]`, gangFailures{1, 1}},
-		"second attempt, all members run":   {`{"state":"running","tasks":"apart","gangs":[2]}`, `[{"index":0,"attempt":2,"worker":"w","life":1},{"index":1,"attempt":2,"worker":"w","life":1}]`, gangFailures{1, 1}},
-		"third attempt has ended":           {`{"state":"running","tasks":"apart","gangs":[2]}`, `[{"index":0,"attempt":3},{"index":1,"attempt":3}]`, gangFailures{2, 3}},
-		"present version":                   {`{"state":"running","tasks":"apart","gangs":[1],"gangAttempts":[1]}`, `[{"index":0,"attempt":3},{"index":1,"attempt":3}]`, gangFailures{1, 1}},
-		"attempts that can't have been":     {`{"state":"running","tasks":"apart","gangs":[9],"gangAttempts":[9]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1}]`, gangFailures{1, 1}},
+		"first attempt, one member runs":    {`{"state":"running","tasks":"apart","gangs":[2]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1,"worker":"w","life":1}]`, gangFailures{attempts: 1, lastAttempt: 1}},
+		"second attempt, all members run":   {`{"state":"running","tasks":"apart","gangs":[2]}`, `[{"index":0,"attempt":2,"worker":"w","life":1},{"index":1,"attempt":2,"worker":"w","life":1}]`, gangFailures{attempts: 1, lastAttempt: 1}},
+		"third attempt has ended":           {`{"state":"running","tasks":"apart","gangs":[2]}`, `[{"index":0,"attempt":3},{"index":1,"attempt":3}]`, gangFailures{attempts: 2, lastAttempt: 3}},
+		"present version":                   {`{"state":"running","tasks":"apart","gangs":[1],"gangAttempts":[1]}`, `[{"index":0,"attempt":3},{"index":1,"attempt":3}]`, gangFailures{attempts: 1, lastAttempt: 1}},
+		"attempts that can't have been":     {`{"state":"running","tasks":"apart","gangs":[9],"gangAttempts":[9]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1}]`, gangFailures{attempts: 1, lastAttempt: 1}},
 		"failures without an attempt":       {`{"state":"running","tasks":"apart","gangs":[2]}`, `[]`, gangFailures{}},
 		"negative numbers":                  {`{"state":"running","tasks":"apart","gangs":[-2],"gangAttempts":[-3]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1}]`, gangFailures{}},
-		"more steps than the job has":       {`{"state":"running","tasks":"apart","gangs":[1,1],"gangAttempts":[1,1]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1}]`, gangFailures{1, 1}},
-		"an attempt that is still complete": {`{"state":"running","tasks":"apart","gangs":[1],"gangAttempts":[2]}`, `[{"index":0,"attempt":2,"worker":"w","life":1},{"index":1,"attempt":2,"worker":"w","life":1}]`, gangFailures{1, 1}},
+		"more steps than the job has":       {`{"state":"running","tasks":"apart","gangs":[1,1],"gangAttempts":[1,1]}`, `[{"index":0,"attempt":1},{"index":1,"attempt":1}]`, gangFailures{attempts: 1, lastAttempt: 1}},
+		"an attempt that is still complete": {`{"state":"running","tasks":"apart","gangs":[1],"gangAttempts":[2]}`, `[{"index":0,"attempt":2,"worker":"w","life":1},{"index":1,"attempt":2,"worker":"w","life":1}]`, gangFailures{attempts: 1, lastAttempt: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			spec, err := json.Marshal(specRecord{Job: []byte(`{"id":"j","steps":[{"count":2,"gang":true}]}`), Queue: testQueue, AcceptedUnixMS: 1})
@@ -116,9 +115,33 @@
 			h := newHarness(t)
 			h.records = map[string][]byte{specPrefix + "j": spec, statePrefix + "j": []byte(c.state), tasksKey("j", 0, 0): []byte(c.tasks)}
 			got := h.successor().p.jobs["j"].steps[0].gangFailures
-			if fmt.Sprint(got) != fmt.Sprint(c.want) {
+			if got.attempts != c.want.attempts || got.lastAttempt != c.want.lastAttempt {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
 		})
 	}
 }
+
+// LOST: a gang that fails by its own fault counted as a failure in a row of its worker with each of
+// its members, and one attempt took the worker out of service. An attempt counts once for each
+// worker on which members failed, and a worker on which several fail is still quarantined.
+func TestFailedGangIsOneFailureOfItsWorker(t *testing.T) {
+	h := newHarness(t)
+	h.reportPoll("w", 1, PollResult{})
+	for i := 1; i <= quarantineFailures; i++ {
+		if got := h.p.unavailability(h.now, h.p.workers["w"]); got != "" {
+			t.Fatalf("got %s after %d failed gangs, want the worker available", got, i-1)
+		}
+		h.submit(fmt.Sprint("j", i), gangStep(6))
+		h.tickAndCommit()
+		for _, r := range h.sendOrders("w") {
+			h.reportPoll("w", 1, failed(int(h.p.workers["w"].appliedEnd), r))
+		}
+		h.p.Cancel(h.now, pv.JobID(fmt.Sprint("j", i)))
+		h.tickAndCommit()
+		h.sendOrders("w") // renews its lease
+	}
+	if got, want := h.p.unavailability(h.now, h.p.workers["w"]), "quarantined"; got != want {
+		t.Errorf("got %q after %d failed gangs, want %s", got, quarantineFailures, want)
+	}
+}
--- a/planner/report.go
+++ b/planner/report.go
@@ -316,29 +316,27 @@
 	t.step.job.openTasks--
 }
 
-// quarantineFailures is the number of consecutive failed runs after which a worker
-// is considered faulty and quarantined.
+// quarantineFailures is the number of consecutive failures after which a worker is considered
+// faulty and quarantined. A failed run is one, and so are all failed runs of one attempt of a gang.
 const quarantineFailures = 3
 
 func (p *Planner) failTask(now time.Time, r *run) {
 	t, s, j := r.task, r.task.step, r.task.step.job
 	t.avoidWorker = r.worker.state.ID
-	r.worker.consecutiveFailures++
-	if r.worker.consecutiveFailures >= quarantineFailures {
-		r.worker.quarantinedUntil = now.Add(p.settings.QuarantineDuration)
-		r.worker.consecutiveFailures = quarantineFailures - 1 // after the quarantine, one more failure starts another
-		p.addEvent(Event{Kind: "worker quarantined", Worker: r.worker.state.ID, Incarnation: r.worker.state.Incarnation})
+	firstOfAttempt, firstOnWorker := true, true
+	if s.spec.Gang {
+		firstOfAttempt, firstOnWorker = s.gangFailures.add(r)
+	}
+	if firstOnWorker {
+		p.countWorkerFailure(now, r.worker)
 	}
-	if s.spec.Standing || j.state.Ended() {
+	if !firstOfAttempt || s.spec.Standing || j.state.Ended() {
 		return
 	}
 	failures := 0
 	if s.spec.Gang {
-		if !s.gangFailures.add(r.attempt) {
-			return // another member of this attempt has failed before
-		}
-		p.markStateDirty(j)
 		failures = s.gangFailures.attempts
+		p.markStateDirty(j)
 	} else {
 		t.failures++
 		failures = t.failures
@@ -347,3 +345,12 @@
 		p.endJob(now, j, pv.JobFailed, "attemptsExhausted")
 	}
 }
+
+func (p *Planner) countWorkerFailure(now time.Time, w *worker) {
+	w.consecutiveFailures++
+	if w.consecutiveFailures >= quarantineFailures {
+		w.quarantinedUntil = now.Add(p.settings.QuarantineDuration)
+		w.consecutiveFailures = quarantineFailures - 1 // after the quarantine, one more failure starts another
+		p.addEvent(Event{Kind: "worker quarantined", Worker: w.state.ID, Incarnation: w.state.Incarnation})
+	}
+}
