planner: a gang avoids the workers where any of its members failed

Cause: only the failed member avoided the worker. The others, whose runs were broken off, chose it again if its score was the highest, which it is on a busy worker: a failure costs less than the share of a busy worker is worth.

Evidence: TestGangAvoidsWorkerWhereAMemberFailed failed before: one of two members started on the faulty worker again.

Why it works: the workers on which members failed are kept with the gang's failed attempt, and each member avoids all of them. A gang that can't be placed without them forgets them, as a task does; if it can't be placed at all, it keeps them for the next pass.

Result: the planner's tests pass; TestGangReturnsToTheOnlyWorker holds before and after.

--- a/planner/gang.go
+++ b/planner/gang.go
@@ -19,7 +19,7 @@
 type gangFailures struct {
 	attempts    int           // in which at least one member has failed
 	lastAttempt int           // the number of the last of them; 0 if there is none
-	workers     []pv.WorkerID // on which members failed in that attempt; not stored
+	workers     []pv.WorkerID // on which members failed in that attempt, and which the gang avoids; not stored
 }
 
 // add records that a member's run has failed, and reports whether it is the first one of its
@@ -91,6 +91,7 @@
 	if !s.gangWaiting() {
 		return
 	}
+	avoided := s.gangFailures.workers
 	var chosen []*worker
 	release := func() {
 		for _, w := range chosen {
@@ -101,6 +102,7 @@
 		w := p.chooseWorker(t, workers)
 		if w == nil {
 			release()
+			s.gangFailures.workers = avoided // the gang hasn't started on any of them
 			return
 		}
 		w.adjustReserved(s.spec, 1)
--- a/planner/gang_test.go
+++ b/planner/gang_test.go
@@ -145,3 +145,46 @@
 		t.Errorf("got %q after %d failed gangs, want %s", got, quarantineFailures, want)
 	}
 }
+
+// LOST: only the member that had failed avoided the worker where it had; the others, whose runs were
+// broken off, went back there, and a gang used up its attempts on one faulty worker beside an idle one.
+func TestGangAvoidsWorkerWhereAMemberFailed(t *testing.T) {
+	h := newHarness(t)
+	h.reportPoll("w", 1, PollResult{})
+	standing := stepWithTasks(6)
+	standing.Standing = true
+	h.submit("standing", standing)
+	h.tickAndCommit()
+	h.sendOrders("w") // w is the first choice for other work too
+	h.submit("j", gangStep(2))
+	h.tickAndCommit()
+	starts := h.sendOrders("w")
+	if len(starts) != 2 {
+		t.Fatalf("got starts %v, want the whole gang on the only worker", starts)
+	}
+	h.reportPoll("v", 1, PollResult{})
+	h.sendOrders("v") // renews its lease
+	ends := failed(0, starts...)
+	ends.Ended[1].Kind = pv.EndGangBroken
+	h.reportPoll("w", 1, ends)
+	h.tickAndCommit()
+	if got := h.sendOrders("w"); len(got) != 0 {
+		t.Errorf("got %v on the worker where a member failed, want none", got)
+	}
+	if got := h.sendOrders("v"); len(got) != 2 {
+		t.Errorf("got %v on the other worker, want the whole gang", got)
+	}
+}
+
+// A gang that fits nowhere else starts again where a member failed.
+func TestGangReturnsToTheOnlyWorker(t *testing.T) {
+	h := newHarness(t)
+	h.reportPoll("w", 1, PollResult{})
+	h.submit("j", gangStep(4))
+	h.tickAndCommit()
+	h.reportPoll("w", 1, failed(0, h.sendOrders("w")...))
+	h.tickAndCommit()
+	if got := h.sendOrders("w"); len(got) != 4 {
+		t.Errorf("got %v on the only worker, want the whole gang", got)
+	}
+}
--- a/planner/job.go
+++ b/planner/job.go
@@ -56,7 +56,7 @@
 	checkpoint       string
 	storedCheckpoint string // in the task's record
 	run              *run
-	avoidWorker      pv.WorkerID    // on which the task failed last
+	avoidWorker      pv.WorkerID    // on which the task failed last; for a member of a gang see gangFailures
 	suspected        bool           // it may have crashed a worker
 	crashes          int            // crashes of workers in which it was a possible cause
 	startCrashes     int            // crashes of workers counted against it
--- a/planner/place.go
+++ b/planner/place.go
@@ -155,7 +155,7 @@
 	switch {
 	case w.state.Service != s.job.queue.Service:
 		return "otherService"
-	case t.avoidWorker == w.state.ID:
+	case t.avoids(w.state.ID):
 		return "failedThere"
 	case !w.admits(t):
 		return "unconfirmedStarts"
@@ -178,6 +178,16 @@
 	return ""
 }
 
+// avoids reports whether the task, or a member of its gang, failed last on the worker.
+func (t *task) avoids(id pv.WorkerID) bool {
+	return t.avoidWorker == id || slices.Contains(t.step.gangFailures.workers, id)
+}
+
+// avoidsAny reports whether the task avoids any worker.
+func (t *task) avoidsAny() bool {
+	return t.avoidWorker != "" || len(t.step.gangFailures.workers) > 0
+}
+
 // score rates a worker that fits; the highest score wins.
 //
 // Fillers slow serving tasks on the same worker, so the two are kept apart: serving
@@ -230,7 +240,7 @@
 func fraction(part, total int64) float64 { return float64(part) / float64(max(1, total)) }
 
 // chooseWorker returns the fitting worker with the highest score, or nil. If
-// none fits, it clears the task's avoidWorker and tries again.
+// none fits, it forgets which workers the task avoids and tries again.
 func (p *Planner) chooseWorker(t *task, workers []*worker) *worker {
 	if t.isSuspected() && p.passStartedAt.Sub(t.waitingSince) < maxSuspectWait {
 		workers = steadyWorkers(p.passStartedAt, workers)
@@ -253,8 +263,8 @@
 			best, bestScore = w, score
 		}
 	}
-	if best == nil && t.avoidWorker != "" {
-		t.avoidWorker = "" // no other worker fits: retry where the task failed
+	if best == nil && t.avoidsAny() {
+		t.avoidWorker, t.step.gangFailures.workers = "", nil // no other worker fits: retry where the task failed
 		return p.chooseWorker(t, workers)
 	}
 	return best
--- a/planner/report.go
+++ b/planner/report.go
@@ -322,10 +322,11 @@
 
 func (p *Planner) failTask(now time.Time, r *run) {
 	t, s, j := r.task, r.task.step, r.task.step.job
-	t.avoidWorker = r.worker.state.ID
 	firstOfAttempt, firstOnWorker := true, true
 	if s.spec.Gang {
 		firstOfAttempt, firstOnWorker = s.gangFailures.add(r)
+	} else {
+		t.avoidWorker = r.worker.state.ID
 	}
 	if firstOnWorker {
 		p.countWorkerFailure(now, r.worker)
