--- a/gateway/gang_test.go
+++ b/gateway/gang_test.go
@@ -31,10 +31,14 @@
 // fail, while faults are injected.
 func runFailingJobs(t *testing.T, seed uint64) {
 	const jobs = 6
-	s := newSiteHarness(t, seed)
+	workers := workerCount
+	if seed%5 == 0 {
+		workers = 40
+	}
+	s := newSiteHarnessOfSize(t, seed, workers)
 	defer s.close()
 	random := rand.New(rand.NewPCG(seed, 59))
-	runTimes := make([]time.Duration, 8) // by index of the member
+	runTimes := make([]time.Duration, 2*workers) // by index of the member
 	for i := range runTimes {
 		runTimes[i] = time.Millisecond + time.Duration(random.Int64N(int64(600*time.Millisecond)))
 	}
@@ -47,7 +51,7 @@
 	time.Sleep(3 * time.Second)
 	injected := ""
 	for i := range jobs {
-		step := pv.Step{Count: 1, Size: pv.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second}
+		step := pv.Step{Count: 1, Size: pv.Resources{MilliCores: taskMilliCores, MemoryMB: 100}, Estimate: time.Second}
 		if i%3 > 0 {
 			step.Count, step.Gang = 2+random.IntN(len(runTimes)-1), true
 		}
