--- a/gateway/gang_test.go
+++ b/gateway/failing_jobs_test.go
@@ -33,7 +33,7 @@
 	const jobs = 6
 	workers := workerCount
 	if seed%5 == 0 {
-		workers = 40
+		workers = 40 // the largest gangs have 80 members
 	}
 	s := newSiteHarnessOfSize(t, seed, workers)
 	defer s.close()
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -24,8 +24,7 @@
 }
 
 // minGangReturnTime is the time from a failure until a gang may return to the worker. Workers that are
-// busy, or that a new leader doesn't know yet, become available meanwhile. A job may have
-// nothing running for 3 s.
+// busy, or that a new leader doesn't know yet, may become available meanwhile.
 const minGangReturnTime = time.Second
 
 // add records that a member's run has failed, and reports whether it is the first one of its
@@ -45,10 +44,10 @@
 	return firstOfAttempt, true
 }
 
-// restoreGangFailures sets the number of failed attempts and the last of them, as a former leader has
-// stored them. Earlier versions stored the number of failed members, and 0 for the last attempt.
-// They are taken for one of each attempt, the latest one in which a run has ended included, so
-// that the gang doesn't get more attempts than its queue allows.
+// restoreGangFailures sets the number of failed attempts and the last of them from a record. Records of
+// earlier versions have the number of failed members, and 0 for the last attempt. As many attempts
+// as can have failed then count, up to the last one in which a run has ended, so that the gang
+// doesn't get more than its queue allows.
 func (s *step) restoreGangFailures(failures, lastAttempt int) {
 	if failures <= 0 {
 		return
--- a/planner/report.go
+++ b/planner/report.go
@@ -347,6 +347,7 @@
 	}
 }
 
+// countWorkerFailure counts a failure of a worker and quarantines it after quarantineFailures.
 func (p *Planner) countWorkerFailure(now time.Time, w *worker) {
 	w.consecutiveFailures++
 	if w.consecutiveFailures >= quarantineFailures {
